--- /dev/null
+++ b/Makefile
@@ -0,0 +1,83 @@
+# siskinpond. SAN=1 builds under AddressSanitizer and UBSan in out-san/.
+CC = gcc
+PKGS = glib-2.0 jansson
+OUT = out
+CFLAGS = -std=c11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Werror
+LDFLAGS =
+ifeq ($(SAN),1)
+OUT = out-san
+CFLAGS += -fsanitize=address,undefined -fno-omit-frame-pointer
+LDFLAGS += -fsanitize=address,undefined
+endif
+CPPFLAGS = -I. $(shell pkg-config --cflags $(PKGS))
+LIBS = -lh2o -luv -lzmq -lssl -lcrypto -lmsgpackc -lm \
+	$(shell pkg-config --libs $(PKGS))
+
+LIBDIRS = base conf core
+LIBSRC = $(wildcard $(addsuffix /*.c,$(LIBDIRS)))
+LIBOBJ = $(LIBSRC:%.c=$(OUT)/%.o)
+WEBOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard web/*.c call/*.c))
+NODEOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard node/*.c))
+PROGS = $(addprefix $(OUT)/,spnode spctl spcall splog spup spload)
+SRC = $(wildcard */*.c)
+HDR = $(wildcard */*.h)
+
+all: $(PROGS)
+
+$(OUT)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo cc $<
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
+
+$(OUT)/libsp.a: $(LIBOBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(OUT)/libspweb.a: $(WEBOBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(OUT)/spnode: $(NODEOBJ) $(OUT)/libspweb.a $(OUT)/libsp.a
+	@echo ld $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(OUT)/spctl $(OUT)/spcall: $(OUT)/%: $(OUT)/cmd/%.o $(OUT)/libspweb.a \
+		$(OUT)/libsp.a
+	@echo ld $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(OUT)/splog $(OUT)/spup $(OUT)/spload: $(OUT)/%: $(OUT)/standin/%.o \
+		$(OUT)/libspweb.a $(OUT)/libsp.a
+	@echo ld $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(wildcard test/*.c)) \
+		$(OUT)/libsp.a
+	@echo ld $@
+	@$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LIBS)
+
+test: all $(OUT)/sptest
+	@test/run.sh $(OUT)
+
+demo: all
+	@demo/demo.sh $(OUT)
+
+bench: all
+	@demo/bench.sh $(OUT)
+
+format:
+	clang-format -i $(SRC) $(HDR)
+
+lint:
+	@clang-format --dry-run -Werror $(SRC) $(HDR)
+	@printf '%s\n' $(SRC) | xargs -P 8 -n 1 sh -c \
+		'clang-tidy --quiet "$$0" -- $(CPPFLAGS) -std=c11 -D_GNU_SOURCE \
+		2>/dev/null || { echo "lint: $$0" >&2; exit 1; }'
+
+clean:
+	rm -rf out out-san run
+
+-include $(LIBOBJ:.o=.d) $(WEBOBJ:.o=.d) $(NODEOBJ:.o=.d) \
+	$(wildcard $(OUT)/*/*.d)
+
+.PHONY: all test demo bench format lint clean
--- /dev/null
+++ b/core/call.c
@@ -0,0 +1,547 @@
+/* The chain that a call passes on arrival, and its end. */
+#include <string.h>
+
+#include "core/state.h"
+
+#define CONTROL "/.sp/"
+#define KEY_FRESH_DIV 2
+
+typedef enum { PASS, ENDED } Verdict;
+
+typedef struct Filter {
+    const char *name;
+    Verdict (*run)(SpCore *c, int64_t now, SpReq *r);
+} Filter;
+
+int
+SpReq_Rank(const SpReq *r)
+{
+    return r->class * SP_SLICES + r->slice;
+}
+
+static void
+unpark(SpCore *c, int64_t now, SpHandle h, const SpAnswer *a)
+{
+    while (h) {
+        SpReq *w = SpCore_Req(c, h);
+        if (!w) {
+            return;
+        }
+        h = w->next_parked;
+        w->next_parked = 0;
+        c->n.replays++;
+        SpReq_End(c, now, w, a);
+    }
+}
+
+/* At the home: what became of the key's run. */
+static void
+settle_key(SpCore *c, int64_t now, SpReq *r, SpAnswer *a)
+{
+    if (r->state == SP_REQ_PARKED || !r->keyed ||
+        strcmp(r->key.home, c->o.name) != 0 ||
+        g_hash_table_lookup(c->by_key, r->key_text) != &r->self) {
+        return;
+    }
+    g_hash_table_remove(c->by_key, r->key_text);
+    if (a->outcome == SP_NOT_RUN) {
+        SpKeys_Refuse(c->keys, SpMembers_Clock(c->members, now), &r->key);
+        a->certified = 1;
+    }
+    else if (a->kind == SP_OK) {
+        SpKeys_Answer(c->keys, &r->key, a);
+        a->certified = 1;
+    }
+    else {
+        SpKeys_Lose(c->keys, &r->key);
+    }
+}
+
+/* "Not run" is only said where nothing that knows the request can run it. */
+static void
+settle_outcome(const SpReq *r, SpAnswer *a)
+{
+    if (a->outcome != SP_NOT_RUN) {
+        return;
+    }
+    if (r->keyed && !a->certified && !(r->own_key && r->sends == 0)) {
+        a->outcome = SP_UNKNOWN;
+    }
+    if (r->maybe_ran && !a->certified) {
+        a->outcome = SP_UNKNOWN;
+    }
+}
+
+static void
+tell_parent(SpCore *c, SpReq *r, const SpAnswer *a)
+{
+    SpReq *p = SpCore_Req(c, r->parent);
+
+    if (!p) {
+        return;
+    }
+    p->budget += r->budget;
+    if (a->kind != SP_OK || a->status >= 500) {
+        p->below = 1;
+    }
+    if (r->level >= 0 && !r->optional &&
+        (p->level < 0 || r->level < p->level)) {
+        p->level = r->level;
+    }
+}
+
+static void
+count_end(SpCore *c, const SpReq *r, const SpAnswer *a)
+{
+    c->n.ended[a->kind]++;
+    if (a->kind == SP_OK && a->status < 500) {
+        c->n.whole[r->class]++;
+    }
+    else {
+        c->n.refused[r->class]++;
+    }
+}
+
+static int
+is_entry(const SpReq *r)
+{
+    return r->call.source == SP_FROM_CALLER ||
+           (r->call.source == SP_FROM_INSTANCE && !r->parent);
+}
+
+static void
+forget(SpCore *c, SpReq *r)
+{
+    if (r->entry) {
+        SpGate_Remove(c->gate, r->entry);
+    }
+    g_hash_table_remove(c->by_span, &r->span);
+    c->o.ops->done(c->o.ctx, r->call.user);
+    SpTable_Remove(c->reqs, r->self);
+}
+
+void
+SpReq_End(SpCore *c, int64_t now, SpReq *r, const SpAnswer *given)
+{
+    SpAnswer a = *given;
+    SpHandle parked = r->parked;
+    SpAnswer replay;
+
+    settle_key(c, now, r, &a);
+    settle_outcome(r, &a);
+    if (a.level >= 0 && (r->level < 0 || a.level < r->level)) {
+        r->level = a.level;
+    }
+    if (is_entry(r) && r->route[0]) {
+        SpView_Note(SpCore_View(c->route_views, r->route), now, r->level);
+    }
+    tell_parent(c, r, &a);
+    a.level = r->level;
+    a.budget = r->budget;
+    if (r->keyed) {
+        g_strlcpy(a.key, r->key_text, sizeof a.key);
+    }
+    SpAnswer_Sign(c, now, &a);
+    count_end(c, r, &a);
+    replay = a;
+    if (!r->detached) {
+        c->o.ops->answer(c->o.ctx, r->call.user, &a);
+    }
+    forget(c, r);
+    unpark(c, now, parked, &replay);
+}
+
+void
+SpReq_Refuse(SpCore *c, int64_t now, SpReq *r, SpKind k)
+{
+    SpAnswer a;
+
+    SpAnswer_Init(&a, k);
+    a.level = r->level;
+    a.below = r->below;
+    if (k == SP_SHED || k == SP_QUEUE_FULL || k == SP_THROTTLED) {
+        SpCore_Event(c, now, "refuse",
+                     "kind=%s route=%s class=%d slice=%d level=%d "
+                     "trace=%016" PRIx64 "%016" PRIx64,
+                     SpKind_Info(k)->name, r->route, r->class, r->slice,
+                     SpCore_RouteLevel(c, r->route), r->call.trace[0],
+                     r->call.trace[1]);
+    }
+    SpReq_End(c, now, r, &a);
+}
+
+static Verdict
+refuse(SpCore *c, int64_t now, SpReq *r, SpKind k)
+{
+    SpReq_Refuse(c, now, r, k);
+    return ENDED;
+}
+
+/*
+ * Control calls: keys and outcomes.
+ */
+
+static Verdict
+reply_json(SpCore *c, int64_t now, SpReq *r, int status, const char *name,
+           const char *value)
+{
+    static const SpHeader type = {"content-type", "application/json"};
+    char body[512];
+    SpAnswer a;
+
+    g_snprintf(body, sizeof body, "{\"%s\": \"%s\"}\n", name, value);
+    SpAnswer_Init(&a, SP_OK);
+    a.status = status;
+    a.headers = &type;
+    a.nheaders = 1;
+    a.body = body;
+    a.body_len = strlen(body);
+    SpReq_End(c, now, r, &a);
+    return ENDED;
+}
+
+static void
+bind_here(SpCore *c, int64_t now, SpBoundKey *k)
+{
+    g_strlcpy(k->home, c->o.name, sizeof k->home);
+    k->inc = SpMembers_Self(c->members)->inc;
+    k->clock_ms = SpMembers_Clock(c->members, now);
+    k->nonce = SpRand(&c->rand);
+}
+
+static Verdict
+make_key(SpCore *c, int64_t now, SpReq *r, const char *route)
+{
+    char text[SP_KEY_TEXT];
+    const SpTarget *t;
+    const char *service = NULL;
+    SpBoundKey k;
+    SpPick *p;
+    int i;
+
+    for (i = 0; c->doc && i < c->doc->nroutes; i++) {
+        if (strcmp(c->doc->routes[i].name, route) == 0) {
+            service = c->doc->routes[i].service_name;
+        }
+    }
+    if (!service) {
+        return refuse(c, now, r, c->doc ? SP_NO_ROUTE : SP_NO_CONFIG);
+    }
+    p = SpCore_PickOf(c, service);
+    t = SpPick_Get(
+        p, SpPick_Choose(p, now, NULL, 0,
+                         c->doc->limits.key_ttl_ms * SP_MS / KEY_FRESH_DIV));
+    if (!t) {
+        return refuse(c, now, r, SP_NO_TARGET);
+    }
+    g_strlcpy(k.home, t->name, sizeof k.home);
+    k.inc = t->inc;
+    k.clock_ms = t->clock_ms;
+    k.nonce = SpRand(&c->rand);
+    if (strcmp(t->name, c->o.name) == 0) {
+        bind_here(c, now, &k);
+    }
+    SpBoundKey_Print(&k, text, sizeof text);
+    return reply_json(c, now, r, 201, "key", text);
+}
+
+static const char *const look_names[] = {
+    [SP_KEY_NEW] = "unused",    [SP_KEY_RUNNING] = "running",
+    [SP_KEY_ANSWERED] = "done", [SP_KEY_NEVER] = "not-run",
+    [SP_KEY_LOST] = "unknown",  [SP_KEY_OTHER] = "unknown",
+    [SP_KEY_OLD] = "unknown",   [SP_KEY_NOROOM] = "not-run"};
+
+static int
+is_home(const SpCore *c, const SpBoundKey *k)
+{
+    return strcmp(k->home, c->o.name) == 0 &&
+           k->inc == SpMembers_Self(c->members)->inc;
+}
+
+static int
+service_of_home(const SpCore *c, const SpBoundKey *k, char *service)
+{
+    const SpMember *m = SpMembers_Find(c->members, k->home);
+
+    if (!m || m->inc != k->inc || m->state == SP_DOWN) {
+        return 0;
+    }
+    g_strlcpy(service, m->service, SP_NAME_BYTES);
+    return 1;
+}
+
+/* GET tells the outcome; DELETE makes an unused key one that never runs. */
+static Verdict
+tell_outcome(SpCore *c, int64_t now, SpReq *r, const char *key)
+{
+    SpKeyState st;
+
+    if (!SpBoundKey_Parse(key, &r->key)) {
+        return refuse(c, now, r, SP_BAD_REQUEST);
+    }
+    if (!is_home(c, &r->key)) {
+        if (!service_of_home(c, &r->key, r->service)) {
+            return reply_json(c, now, r, 200, "outcome", "unknown");
+        }
+        r->keyed = 1;
+        r->idempotent = 1;
+        SpReq_Send(c, now, r);
+        return ENDED;
+    }
+    st = SpKeys_Look(c->keys, SpMembers_Clock(c->members, now), &r->key);
+    if (st == SP_KEY_NEW && strcmp(r->call.method, "DELETE") == 0) {
+        SpKeys_Refuse(c->keys, SpMembers_Clock(c->members, now), &r->key);
+        st = SP_KEY_NEVER;
+    }
+    return reply_json(c, now, r, 200, "outcome", look_names[st]);
+}
+
+static Verdict
+f_control(SpCore *c, int64_t now, SpReq *r)
+{
+    const char *p = r->call.path;
+
+    if (strncmp(p, CONTROL, strlen(CONTROL)) != 0) {
+        return PASS;
+    }
+    r->deadline = now + 2 * SP_SEC;
+    p += strlen(CONTROL);
+    if (strncmp(p, "keys/", 5) == 0 && strcmp(r->call.method, "POST") == 0) {
+        return make_key(c, now, r, p + 5);
+    }
+    if (strncmp(p, "outcomes/", 9) == 0) {
+        return tell_outcome(c, now, r, p + 9);
+    }
+    return refuse(c, now, r, SP_NO_ROUTE);
+}
+
+/*
+ * The chain.
+ */
+
+static int
+is_safe(const char *method)
+{
+    return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
+}
+
+/* Without a configuration only safe calls to the own instance are served. */
+static Verdict
+f_config(SpCore *c, int64_t now, SpReq *r)
+{
+    if (c->doc) {
+        return PASS;
+    }
+    if (r->call.source == SP_FROM_INSTANCE || !is_safe(r->call.method)) {
+        return refuse(c, now, r, SP_NO_CONFIG);
+    }
+    g_strlcpy(r->service, c->o.service, sizeof r->service);
+    r->idempotent = 1;
+    r->deadline = now + 10 * SP_SEC;
+    r->slice = (int)(SpHash(r->call.trace, 16, 0) % SP_SLICES);
+    SpReq_Place(c, now, r);
+    return ENDED;
+}
+
+static Verdict
+f_route(SpCore *c, int64_t now, SpReq *r)
+{
+    int i = SpDoc_Route(c->doc, r->call.method, r->call.path);
+    const SpRoute *rt;
+
+    if (i < 0) {
+        return refuse(c, now, r, SP_NO_ROUTE);
+    }
+    rt = &c->doc->routes[i];
+    g_strlcpy(r->route, rt->name, sizeof r->route);
+    g_strlcpy(r->service, rt->service_name, sizeof r->service);
+    r->class = rt->class;
+    r->idempotent = rt->idempotent;
+    r->optional = rt->optional;
+    r->deadline = now + rt->deadline_ms * SP_MS;
+    return PASS;
+}
+
+static Verdict
+f_deadline(SpCore *c, int64_t now, SpReq *r)
+{
+    const SpReq *p;
+
+    if (r->call.timeout_us < 0) {
+        return refuse(c, now, r, SP_LATE);
+    }
+    if (r->call.timeout_us > 0) {
+        r->deadline = MIN(r->deadline, now + r->call.timeout_us);
+    }
+    if (r->call.source == SP_FROM_INSTANCE && r->call.parent) {
+        SpHandle *h = g_hash_table_lookup(c->by_span, &r->call.parent);
+        p = h ? SpCore_Req(c, *h) : NULL;
+        if (!p) {
+            /* the request that this call belongs to has ended */
+            return refuse(c, now, r, SP_LATE);
+        }
+        r->parent = p->self;
+        r->deadline = MIN(r->deadline, p->deadline);
+    }
+    return r->deadline <= now ? refuse(c, now, r, SP_LATE) : PASS;
+}
+
+static Verdict
+f_classify(SpCore *c, int64_t now, SpReq *r)
+{
+    SpReq *p = SpCore_Req(c, r->parent);
+
+    (void)now;
+    if (p) {
+        r->class = p->class;
+        r->slice = p->slice;
+        r->budget = (p->budget + 1) / 2;
+        p->budget -= r->budget;
+    }
+    else if (r->call.source == SP_FROM_NODE) {
+        r->class = CLAMP(r->call.class, 0, c->doc->nclasses - 1);
+        r->slice = CLAMP(r->call.slice, 0, SP_SLICES - 1);
+        r->budget = CLAMP(r->call.budget, 0, c->doc->retries.per_request);
+    }
+    else {
+        r->slice = (int)(SpHash(r->call.trace, 16, 0) % SP_SLICES);
+        r->budget = c->doc->retries.per_request;
+    }
+    return PASS;
+}
+
+static uint64_t
+digest_of(const SpReq *r)
+{
+    uint64_t h = SpHash(r->call.method, strlen(r->call.method), 1);
+
+    h = SpHash(r->call.path, strlen(r->call.path), h);
+    return SpHash(r->call.body, r->call.body_len, h);
+}
+
+static Verdict
+f_key(SpCore *c, int64_t now, SpReq *r)
+{
+    if (r->idempotent) {
+        return PASS;
+    }
+    r->digest = digest_of(r);
+    if (!r->call.key) {
+        if (r->call.source == SP_FROM_INSTANCE) {
+            r->own_key = 1;
+            return PASS;
+        }
+        return refuse(c, now, r, SP_KEY_REQUIRED);
+    }
+    if (!SpBoundKey_Parse(r->call.key, &r->key)) {
+        return refuse(c, now, r, SP_KEY_REQUIRED);
+    }
+    r->keyed = 1;
+    SpBoundKey_Print(&r->key, r->key_text, sizeof r->key_text);
+    return PASS;
+}
+
+static Verdict
+f_admit(SpCore *c, int64_t now, SpReq *r)
+{
+    int top = c->doc->nclasses * SP_SLICES, level = top;
+
+    if (c->doc->policy != SP_POLICY_FULL) {
+        return PASS;
+    }
+    if (!is_entry(r)) {
+        if (r->optional) {
+            level = (int)SpCore_View(c->serv_views, r->service)->level;
+        }
+        return SpReq_Rank(r) >= level ? refuse(c, now, r, SP_OPTIONAL) : PASS;
+    }
+    level = SpCore_RouteLevel(c, r->route);
+    if (strcmp(r->service, c->o.service) == 0) {
+        level = MIN(level, SpGate_Level(c->gate));
+    }
+    if (SpReq_Rank(r) >= level ||
+        (r->call.attempt > 0 && r->class > 0 && level < top)) {
+        return refuse(c, now, r, SP_SHED);
+    }
+    return PASS;
+}
+
+static Verdict
+f_place(SpCore *c, int64_t now, SpReq *r)
+{
+    if (r->call.source != SP_FROM_INSTANCE &&
+        strcmp(r->service, c->o.service) == 0) {
+        SpReq_Place(c, now, r);
+    }
+    else if (r->call.source == SP_FROM_NODE) {
+        SpReq_Refuse(c, now, r, SP_NO_ROUTE);
+    }
+    else {
+        SpReq_Send(c, now, r);
+    }
+    return ENDED;
+}
+
+static const Filter chain[] = {
+    {"control", f_control},   {"config", f_config},     {"route", f_route},
+    {"deadline", f_deadline}, {"classify", f_classify}, {"key", f_key},
+    {"admit", f_admit},       {"place", f_place},
+};
+
+SpHandle
+SpCore_Call(SpCore *c, int64_t now, const SpCall *call)
+{
+    SpHandle h;
+    SpReq *r = SpTable_Add(c->reqs, &h);
+    size_t i;
+
+    c->n.calls[call->source]++;
+    r->self = h;
+    r->call = *call;
+    r->arrived = now;
+    r->deadline = now + SP_SEC;
+    r->level = -1;
+    r->span = SpRand(&c->rand) | 1;
+    if (call->source == SP_FROM_NODE && call->from && call->from[0]) {
+        int64_t *at = g_hash_table_lookup(c->senders, call->from);
+        if (!at) {
+            at = g_new(int64_t, 1);
+            g_hash_table_insert(c->senders, g_strdup(call->from), at);
+        }
+        *at = now;
+    }
+    for (i = 0; i < G_N_ELEMENTS(chain); i++) {
+        if (chain[i].run(c, now, r) == ENDED) {
+            break;
+        }
+    }
+    return SpTable_Get(c->reqs, h) ? h : 0;
+}
+
+void
+SpCore_Left(SpCore *c, int64_t now, SpHandle h)
+{
+    SpReq *r = SpCore_Req(c, h);
+    SpAnswer a;
+
+    if (!r || r->detached) {
+        return;
+    }
+    c->n.cancels++;
+    r->detached = 1;
+    if (r->state == SP_REQ_RUNNING && r->keyed) {
+        return; /* its outcome is still wanted */
+    }
+    SpAnswer_Init(&a, SP_CANCELLED);
+    if (r->state == SP_REQ_RUNNING) {
+        a.outcome = SP_UNKNOWN;
+        SpReq_CancelRun(c, now, r);
+    }
+    else if (r->state == SP_REQ_SENT) {
+        a.outcome = SP_UNKNOWN;
+        SpReq_Lose(c, r);
+        c->o.ops->cancel(c->o.ctx, r->call.user);
+    }
+    SpReq_End(c, now, r, &a);
+    SpCore_Pump(c, now);
+}
--- /dev/null
+++ b/core/gate.c
@@ -0,0 +1,532 @@
+#include <string.h>
+
+#include "core/gate.h"
+
+#define MAX_RANKS (SP_MAX_CLASSES * SP_SLICES)
+#define NLISTS (SP_MAX_CLASSES * 2)
+/* Time constants of the moving averages. */
+#define RATE_TAU_US (400 * SP_MS)
+#define HIST_TAU_US (400 * SP_MS)
+/* The queue's excess is to be worked off in this time. */
+#define DRAIN_US (400 * SP_MS)
+/* A level that is not held down rises by this factor each tick. */
+#define LEVEL_RISE 1.12
+/* Limit probes: how far down, how long, what loss is accepted. */
+#define PROBE_DOWN 0.8
+#define PROBE_KEEP 0.97
+#define PROBE_RUNS 150
+#define PROBE_GAP_US (4 * SP_SEC)
+#define PROBE_GAP_MAX_US (64 * SP_SEC)
+/* A wait for a slot beyond this calls for a reserve. */
+#define RESERVE_WAIT_US (20 * SP_MS)
+
+typedef struct Entry {
+    SpHandle request;
+    int rank, inner, list;
+    int64_t deadline, since;
+    SpHandle prev, next;
+} Entry;
+
+typedef struct List {
+    SpHandle head, tail;
+    int count;
+} List;
+
+typedef enum { STEADY, MEASURE, PROBE } ProbeState;
+
+struct SpGate {
+    SpGateOpts o;
+    double limit;
+    int running;
+    int running_first; /* of class 0 */
+    int queued;
+    SpTable *entries;
+    List lists[NLISTS];
+
+    /* since the last tick */
+    int64_t ticked;
+    int done, shed;
+    int64_t wait_sum;
+    int waits;
+    int full_ticks; /* consecutive ticks with a queue */
+
+    double done_rate;          /* runs a second, smoothed */
+    double run_us;             /* smoothed */
+    double hist[MAX_RANKS];    /* arrivals a second by rank, smoothed */
+    double arrived[MAX_RANKS]; /* since the last tick */
+    double level;
+    double first_peak; /* runs of class 0 at a time, decaying */
+
+    ProbeState probe;
+    int64_t probe_since, probe_next, probe_gap;
+    int probe_done;
+    double probe_rate, probe_limit;
+};
+
+static double
+max_level(const SpGate *g)
+{
+    return (double)g->o.nclasses * SP_SLICES;
+}
+
+SpGate *
+SpGate_New(const SpGateOpts *o, int64_t now)
+{
+    SpGate *g = g_new0(SpGate, 1);
+
+    g->entries = SpTable_New(sizeof(Entry));
+    g->ticked = now;
+    g->probe_gap = PROBE_GAP_US;
+    g->probe_next = now + PROBE_GAP_US;
+    SpGate_Configure(g, o);
+    g->limit = o->slots;
+    g->level = max_level(g);
+    return g;
+}
+
+void
+SpGate_Configure(SpGate *g, const SpGateOpts *o)
+{
+    int classes = g->o.nclasses, slots = g->o.slots;
+
+    g->o = *o;
+    if (o->slots != slots) {
+        g->limit = o->slots;
+        g->probe = STEADY;
+    }
+    if (o->nclasses != classes) {
+        g->level = max_level(g);
+    }
+}
+
+void
+SpGate_Free(SpGate *g)
+{
+    if (g) {
+        SpTable_Free(g->entries);
+        g_free(g);
+    }
+}
+
+static double
+limit_now(const SpGate *g)
+{
+    if (g->o.policy == SP_POLICY_HOP) {
+        return g->o.hop_limit;
+    }
+    if (g->o.policy == SP_POLICY_NONE) {
+        return 1e9;
+    }
+    return g->limit < 1 ? 1 : g->limit;
+}
+
+/* Slots kept free for class 0, where waiting for one would take long. */
+static double
+reserve(const SpGate *g)
+{
+    double limit = limit_now(g);
+
+    if (g->o.policy != SP_POLICY_FULL || g->first_peak < 0.01) {
+        return 0;
+    }
+    if (g->run_us / limit < RESERVE_WAIT_US || limit < 2) {
+        return 0;
+    }
+    return MIN(g->first_peak + 1, limit / 2);
+}
+
+static int
+has_room(const SpGate *g, int rank)
+{
+    double limit = limit_now(g);
+
+    if (g->running + 1 > limit) {
+        return 0;
+    }
+    if (rank < SP_SLICES) {
+        return 1;
+    }
+    return g->running - g->running_first +
+               MAX((double)g->running_first, reserve(g)) + 1 <=
+           limit;
+}
+
+static void
+start(SpGate *g, int rank)
+{
+    g->running++;
+    if (rank < SP_SLICES) {
+        g->running_first++;
+        g->first_peak = MAX(g->first_peak, g->running_first);
+    }
+}
+
+static int
+list_of(int rank, int inner)
+{
+    return rank / SP_SLICES * 2 + (inner ? 0 : 1);
+}
+
+/* Entries of a list are in the order of their deadlines. */
+static void
+insert(SpGate *g, SpHandle h, Entry *e)
+{
+    List *l = &g->lists[e->list];
+    SpHandle at = l->tail;
+    Entry *p = SpTable_Get(g->entries, at);
+
+    while (p && p->deadline > e->deadline) {
+        at = p->prev;
+        p = SpTable_Get(g->entries, at);
+    }
+    e->prev = p ? at : 0;
+    e->next = p ? p->next : l->head;
+    if (p) {
+        p->next = h;
+    }
+    else {
+        l->head = h;
+    }
+    p = SpTable_Get(g->entries, e->next);
+    if (p) {
+        p->prev = h;
+    }
+    else {
+        l->tail = h;
+    }
+    l->count++;
+    g->queued++;
+}
+
+static SpHandle
+unlink_entry(SpGate *g, SpHandle h)
+{
+    Entry *e = SpTable_Get(g->entries, h);
+    Entry *p = SpTable_Get(g->entries, e->prev);
+    Entry *n = SpTable_Get(g->entries, e->next);
+    List *l = &g->lists[e->list];
+    SpHandle request = e->request;
+
+    if (p) {
+        p->next = e->next;
+    }
+    else {
+        l->head = e->next;
+    }
+    if (n) {
+        n->prev = e->prev;
+    }
+    else {
+        l->tail = e->prev;
+    }
+    l->count--;
+    g->queued--;
+    SpTable_Remove(g->entries, h);
+    return request;
+}
+
+/* The least important entry of a list below `list`; 0 if there is none. */
+static SpHandle
+victim(const SpGate *g, int list)
+{
+    int i;
+
+    for (i = NLISTS - 1; i > list; i--) {
+        if (g->lists[i].count) {
+            return g->lists[i].tail;
+        }
+    }
+    return 0;
+}
+
+SpGateVerdict
+SpGate_Arrive(SpGate *g, int64_t now, const SpGateAsk *ask, SpHandle *entry,
+              SpHandle *evicted)
+{
+    int list = list_of(ask->rank, ask->inner);
+    int cap = g->o.policy == SP_POLICY_NONE ? 100000 : g->o.queue;
+    SpHandle v;
+    Entry *e;
+
+    *entry = 0;
+    *evicted = 0;
+    g->arrived[ask->rank]++;
+    if (g->queued == 0 && has_room(g, ask->rank)) {
+        start(g, ask->rank);
+        g->waits++;
+        return SP_GATE_RUN;
+    }
+    if (has_room(g, ask->rank) && ask->rank < SP_SLICES &&
+        g->lists[0].count + g->lists[1].count == 0) {
+        start(g, ask->rank);
+        return SP_GATE_RUN;
+    }
+    if (g->queued >= cap) {
+        v = g->o.policy == SP_POLICY_FULL ? victim(g, list) : 0;
+        if (!v) {
+            return SP_GATE_FULL;
+        }
+        *evicted = unlink_entry(g, v);
+    }
+    e = SpTable_Add(g->entries, entry);
+    e->request = ask->handle;
+    e->rank = ask->rank;
+    e->inner = ask->inner;
+    e->list = g->o.policy == SP_POLICY_FULL ? list : 0;
+    e->deadline = g->o.policy == SP_POLICY_FULL ? ask->deadline : 0;
+    e->since = now;
+    insert(g, *entry, e);
+    return SP_GATE_QUEUED;
+}
+
+void
+SpGate_Done(SpGate *g, int64_t now, int rank, int64_t run_us, int ok, int shed)
+{
+    (void)now;
+    g->running--;
+    if (rank < SP_SLICES) {
+        g->running_first--;
+    }
+    if (shed) {
+        g->shed++;
+        return;
+    }
+    g->done++;
+    g->probe_done++;
+    if (ok) {
+        g->run_us += ((double)run_us - g->run_us) * 0.05;
+    }
+}
+
+SpHandle
+SpGate_Next(SpGate *g, int64_t now, int *late)
+{
+    SpHandle h;
+    Entry *e;
+    int i;
+
+    for (i = 0; i < NLISTS; i++) {
+        h = g->lists[i].head;
+        if (!h) {
+            continue;
+        }
+        e = SpTable_Get(g->entries, h);
+        *late = g->o.policy == SP_POLICY_FULL &&
+                e->deadline < now + (int64_t)(g->run_us / 2);
+        if (!*late && !has_room(g, e->rank)) {
+            return 0;
+        }
+        if (!*late) {
+            start(g, e->rank);
+            g->wait_sum += now - e->since;
+            g->waits++;
+        }
+        return unlink_entry(g, h);
+    }
+    return 0;
+}
+
+void
+SpGate_Remove(SpGate *g, SpHandle entry)
+{
+    if (SpTable_Get(g->entries, entry)) {
+        unlink_entry(g, entry);
+    }
+}
+
+/* The age of the oldest entry that is next in any list. */
+static int64_t
+oldest_wait(const SpGate *g, int64_t now)
+{
+    int64_t age = 0;
+    int i;
+
+    for (i = 0; i < NLISTS; i++) {
+        const Entry *e = SpTable_Get(g->entries, g->lists[i].head);
+        if (e) {
+            age = MAX(age, now - e->since);
+        }
+    }
+    return age;
+}
+
+/* The wait that a new entry can expect. */
+static double
+wait_now(const SpGate *g, int64_t now)
+{
+    double drain, mean = 0;
+
+    if (g->waits) {
+        mean = (double)g->wait_sum / g->waits;
+    }
+    drain = g->done_rate > 1 ? g->queued / g->done_rate * SP_SEC
+                             : (double)oldest_wait(g, now);
+    return MAX(mean, drain);
+}
+
+/* The level at which the arrivals below it come to `rate` a second. */
+static double
+level_for(const SpGate *g, double rate)
+{
+    double sum = 0;
+    int r, top = (int)max_level(g);
+
+    for (r = 0; r < top; r++) {
+        if (sum + g->hist[r] > rate) {
+            return r + (rate - sum) / g->hist[r];
+        }
+        sum += g->hist[r];
+    }
+    return top;
+}
+
+static void
+adjust_level(SpGate *g, int64_t now)
+{
+    double target = (double)g->o.target_us;
+    double wait = wait_now(g, now);
+    double want, level;
+
+    if (g->full_ticks >= 2 && wait > target) {
+        want = g->done_rate * (1 - MIN(0.7, (wait - target) / DRAIN_US));
+        level = level_for(g, want);
+        g->level = MIN(g->level, MAX(level, g->level * 0.5));
+    }
+    else if (wait < target / 2) {
+        g->level = SP_SLICES + (g->level - SP_SLICES) * LEVEL_RISE + 1;
+    }
+    else {
+        g->level += 0.5;
+    }
+    g->level = CLAMP(g->level, SP_SLICES, max_level(g));
+}
+
+static void
+probe_end(SpGate *g, int64_t now, int keep)
+{
+    if (keep) {
+        g->probe_gap = PROBE_GAP_US;
+    }
+    else {
+        g->limit = g->probe_limit;
+        g->probe_gap = MIN(g->probe_gap * 2, PROBE_GAP_MAX_US);
+    }
+    g->probe = STEADY;
+    g->probe_next = now + g->probe_gap;
+}
+
+static void
+probe_enter(SpGate *g, int64_t now, ProbeState s)
+{
+    g->probe = s;
+    g->probe_since = now;
+    g->probe_done = 0;
+}
+
+/*
+ * Find whether fewer runs at a time give the same rate. Only a rate that
+ * holds up at the lower limit is evidence that the limit was too high; a
+ * longer run time alone is not, because a slow instance needs all its slots.
+ */
+static void
+adjust_limit(SpGate *g, int64_t now)
+{
+    double secs = (double)(now - g->probe_since) / SP_SEC;
+    double rate = secs > 0 ? g->probe_done / secs : 0;
+
+    if (g->shed) {
+        g->limit = MAX(1, MIN(g->limit, g->running + g->shed) * 0.95);
+        g->probe = STEADY;
+        return;
+    }
+    if (g->full_ticks == 0) {
+        if (g->probe == PROBE) {
+            g->limit = g->probe_limit;
+        }
+        g->probe = STEADY;
+        g->limit = MIN(g->o.slots, g->limit * 1.01 + 0.05);
+        return;
+    }
+    if (g->probe == STEADY) {
+        if (now >= g->probe_next && g->full_ticks > 4 && g->limit >= 4) {
+            probe_enter(g, now, MEASURE);
+        }
+        return;
+    }
+    if (g->probe_done < PROBE_RUNS) {
+        return;
+    }
+    if (g->probe == MEASURE) {
+        g->probe_rate = rate;
+        g->probe_limit = g->limit;
+        g->limit *= PROBE_DOWN;
+        probe_enter(g, now, PROBE);
+        return;
+    }
+    probe_end(g, now, rate >= g->probe_rate * PROBE_KEEP);
+}
+
+static void
+smooth(SpGate *g, double dt)
+{
+    double a = MIN(1, dt / RATE_TAU_US), b = MIN(1, dt / HIST_TAU_US);
+    int r, top = (int)max_level(g);
+
+    g->done_rate += (g->done * SP_SEC / dt - g->done_rate) * a;
+    for (r = 0; r < top; r++) {
+        g->hist[r] += (g->arrived[r] * SP_SEC / dt - g->hist[r]) * b;
+        g->arrived[r] = 0;
+    }
+    g->first_peak *= 1 - MIN(1, dt / (10 * SP_SEC));
+}
+
+void
+SpGate_Tick(SpGate *g, int64_t now)
+{
+    double dt = (double)(now - g->ticked);
+
+    if (dt < SP_GATE_TICK_US / 2.0) {
+        return;
+    }
+    smooth(g, dt);
+    g->full_ticks = g->queued > 0 ? g->full_ticks + 1 : 0;
+    if (g->o.policy == SP_POLICY_FULL) {
+        adjust_limit(g, now);
+        adjust_level(g, now);
+    }
+    g->ticked = now;
+    g->done = g->shed = g->waits = 0;
+    g->wait_sum = 0;
+}
+
+int
+SpGate_Level(const SpGate *g)
+{
+    return (int)g->level;
+}
+
+int
+SpGate_Load(const SpGate *g)
+{
+    double limit = MIN(limit_now(g), g->o.slots);
+
+    return (int)((g->running + g->queued) * 100 / MAX(limit, 1));
+}
+
+int
+SpGate_Running(const SpGate *g)
+{
+    return g->running;
+}
+
+int
+SpGate_Queued(const SpGate *g)
+{
+    return g->queued;
+}
+
+double
+SpGate_Limit(const SpGate *g)
+{
+    return limit_now(g);
+}
--- /dev/null
+++ b/core/line.c
@@ -0,0 +1,82 @@
+#include <stdarg.h>
+#include <string.h>
+
+#include "core/line.h"
+
+/* A peer's clock further ahead than this is not followed. */
+#define MAX_AHEAD_MS 60000
+
+struct SpLine {
+    SpEvent *ring;
+    guint capacity;
+    uint64_t total;
+    uint64_t hlc;
+};
+
+SpLine *
+SpLine_New(guint capacity)
+{
+    SpLine *l = g_new0(SpLine, 1);
+
+    l->capacity = capacity;
+    l->ring = g_new0(SpEvent, capacity);
+    return l;
+}
+
+void
+SpLine_Free(SpLine *l)
+{
+    if (l) {
+        g_free(l->ring);
+        g_free(l);
+    }
+}
+
+uint64_t
+SpLine_Now(SpLine *l, int64_t wall_ms)
+{
+    uint64_t wall = (uint64_t)wall_ms << 16;
+
+    l->hlc = wall > l->hlc ? wall : l->hlc + 1;
+    return l->hlc;
+}
+
+void
+SpLine_Heard(SpLine *l, int64_t wall_ms, uint64_t hlc)
+{
+    if (hlc > l->hlc && (int64_t)(hlc >> 16) < wall_ms + MAX_AHEAD_MS) {
+        l->hlc = hlc;
+    }
+}
+
+const SpEvent *
+SpLine_Add(SpLine *l, int64_t wall_ms, const char *kind, const char *fmt, ...)
+{
+    SpEvent *e = &l->ring[l->total++ % l->capacity];
+    va_list ap;
+
+    e->hlc = SpLine_Now(l, wall_ms);
+    g_strlcpy(e->kind, kind, sizeof e->kind);
+    va_start(ap, fmt);
+    g_vsnprintf(e->text, sizeof e->text, fmt, ap);
+    va_end(ap);
+    return e;
+}
+
+guint
+SpLine_Count(const SpLine *l)
+{
+    return l->total < l->capacity ? (guint)l->total : l->capacity;
+}
+
+const SpEvent *
+SpLine_At(const SpLine *l, guint i)
+{
+    return &l->ring[(l->total - SpLine_Count(l) + i) % l->capacity];
+}
+
+uint64_t
+SpLine_Total(const SpLine *l)
+{
+    return l->total;
+}
--- /dev/null
+++ b/core/pick.c
@@ -0,0 +1,372 @@
+#include <math.h>
+#include <string.h>
+
+#include "core/pick.h"
+
+#define EJECT_FAILS 5
+#define EJECT_US (1 * SP_SEC)
+#define EJECT_MAX_US (30 * SP_SEC)
+/* A reported load counts half after this time. */
+#define LOAD_HALF_US (500 * SP_MS)
+/* Beyond this load, in percent, other zones are used too. */
+#define FULL_LOAD 90.0
+#define RUN_WEIGHT 0.1
+#define MAX_SLOW 8.0
+/* Calls per accepted call before throttling starts. */
+#define THROTTLE_K 2.0
+#define THROTTLE_K_FIRST 4.0
+#define THROTTLE_TAU_US (5 * SP_SEC)
+#define THROTTLE_MIN 20.0
+
+struct SpPick {
+    SpPickOpts o;
+    SpTable *table;
+    GArray *handles; /* of SpHandle, those listed in the table */
+    uint64_t rand;
+    double asked, accepted; /* decaying counts */
+    int64_t decayed;
+};
+
+SpPick *
+SpPick_New(const SpPickOpts *o)
+{
+    SpPick *p = g_new0(SpPick, 1);
+
+    p->o = *o;
+    p->rand = o->seed;
+    p->table = SpTable_New(sizeof(SpTarget));
+    p->handles = g_array_new(FALSE, TRUE, sizeof(SpHandle));
+    return p;
+}
+
+void
+SpPick_Free(SpPick *p)
+{
+    if (p) {
+        SpTable_Free(p->table);
+        g_array_free(p->handles, TRUE);
+        g_free(p);
+    }
+}
+
+void
+SpPick_Configure(SpPick *p, int ramp_ms, int plain)
+{
+    p->o.ramp_ms = ramp_ms;
+    p->o.plain = plain;
+}
+
+guint
+SpPick_Count(const SpPick *p)
+{
+    return p->handles->len;
+}
+
+static SpTarget *
+target_at(const SpPick *p, guint i)
+{
+    return SpTable_Get(p->table, g_array_index(p->handles, SpHandle, i));
+}
+
+const SpTarget *
+SpPick_At(const SpPick *p, guint i)
+{
+    return target_at(p, i);
+}
+
+SpHandle
+SpPick_Find(const SpPick *p, const char *name)
+{
+    guint i;
+
+    for (i = 0; i < p->handles->len; i++) {
+        if (strcmp(target_at(p, i)->name, name) == 0) {
+            return g_array_index(p->handles, SpHandle, i);
+        }
+    }
+    return 0;
+}
+
+const SpTarget *
+SpPick_Get(const SpPick *p, SpHandle h)
+{
+    return SpTable_Get(p->table, h);
+}
+
+static void
+remove_target(SpPick *p, SpHandle h)
+{
+    guint i;
+
+    for (i = 0; i < p->handles->len; i++) {
+        if (g_array_index(p->handles, SpHandle, i) == h) {
+            g_array_remove_index_fast(p->handles, i);
+            break;
+        }
+    }
+    SpTable_Remove(p->table, h);
+}
+
+void
+SpPick_Member(SpPick *p, int64_t now, const SpMember *m)
+{
+    SpHandle h = SpPick_Find(p, m->name);
+    SpTarget *t = SpTable_Get(p->table, h);
+
+    if (m->state == SP_DOWN) {
+        if (t) {
+            remove_target(p, h);
+        }
+        return;
+    }
+    if (t && t->inc != m->inc) {
+        remove_target(p, h);
+        t = NULL;
+    }
+    if (!t) {
+        t = SpTable_Add(p->table, &h);
+        g_array_append_val(p->handles, h);
+        g_strlcpy(t->name, m->name, sizeof t->name);
+        t->inc = m->inc;
+        t->clock_ms = -1;
+        t->since = now;
+    }
+    g_strlcpy(t->zone, m->zone, sizeof t->zone);
+    g_strlcpy(t->mesh, m->mesh, sizeof t->mesh);
+    t->near = strcmp(m->zone, p->o.zone) == 0;
+    t->slots = MAX(m->slots, 1);
+    if (m->state == SP_UP && !t->takes) {
+        t->since = now;
+    }
+    t->takes = m->state == SP_UP || m->state == SP_SUSPECT;
+    if (m->clock_ms > t->clock_ms) {
+        t->clock_ms = m->clock_ms;
+        t->clock_at = m->clock_at;
+    }
+}
+
+static int
+is_avoided(const SpTarget *t, const char *const *avoid, int navoid)
+{
+    int i;
+
+    for (i = 0; i < navoid; i++) {
+        if (strcmp(t->name, avoid[i]) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static double
+load_of(const SpTarget *t, int64_t now)
+{
+    double age = (double)(now - t->load_at);
+
+    return t->load * exp2(-age / LOAD_HALF_US) +
+           100.0 * t->inflight / t->slots;
+}
+
+/* Expected cost of one more call, in no unit; lower is better. */
+static double
+cost_of(const SpPick *p, const SpTarget *t, int64_t now, double fastest)
+{
+    double cost = load_of(t, now) + 10;
+    int64_t age = now - t->since, ramp = p->o.ramp_ms * SP_MS;
+
+    if (fastest > 0 && t->run_us > fastest) {
+        cost *= MIN(t->run_us / fastest, MAX_SLOW);
+    }
+    if (age < ramp) {
+        cost *= (double)ramp / (double)MAX(age, ramp / 10);
+    }
+    return cost;
+}
+
+typedef struct Filter {
+    int64_t now;
+    const char *const *avoid;
+    int navoid;
+    int64_t fresh_us;
+    int near;    /* own zone only */
+    int ejected; /* 1: take ejected ones too */
+} Filter;
+
+static int
+fits(const SpTarget *t, const Filter *f)
+{
+    if (!t->takes || (f->near && !t->near)) {
+        return 0;
+    }
+    if (!f->ejected && t->ejected_until > f->now) {
+        return 0;
+    }
+    if (f->fresh_us &&
+        (t->clock_ms < 0 || f->now - t->clock_at > f->fresh_us)) {
+        return 0;
+    }
+    return !is_avoided(t, f->avoid, f->navoid);
+}
+
+static guint
+list_fits(const SpPick *p, const Filter *f, guint *out, guint max)
+{
+    guint i, n = 0;
+
+    for (i = 0; i < p->handles->len && n < max; i++) {
+        if (fits(target_at(p, i), f)) {
+            out[n++] = i;
+        }
+    }
+    return n;
+}
+
+static int
+choose_two(SpPick *p, const Filter *f, double *load)
+{
+    guint list[1024], n = list_fits(p, f, list, G_N_ELEMENTS(list));
+    const SpTarget *a, *b;
+    double fastest;
+    guint i, k;
+
+    if (n == 0) {
+        return -1;
+    }
+    i = list[SpRand(&p->rand) % n];
+    k = list[SpRand(&p->rand) % n];
+    if (p->o.plain || n == 1) {
+        *load = load_of(target_at(p, i), f->now);
+        return (int)i;
+    }
+    while (k == i) {
+        k = list[SpRand(&p->rand) % n];
+    }
+    a = target_at(p, i);
+    b = target_at(p, k);
+    fastest = MIN(a->run_us, b->run_us);
+    if (cost_of(p, b, f->now, fastest) < cost_of(p, a, f->now, fastest)) {
+        i = k;
+    }
+    *load = load_of(target_at(p, i), f->now);
+    return (int)i;
+}
+
+SpHandle
+SpPick_Choose(SpPick *p, int64_t now, const char *const *avoid, int navoid,
+              int64_t fresh_us)
+{
+    Filter f = {now, avoid, navoid, fresh_us, !p->o.plain, p->o.plain};
+    double load = 0, far_load = 0;
+    int best = choose_two(p, &f, &load), far;
+
+    f.near = 0;
+    if (best < 0 || load > FULL_LOAD) {
+        far = choose_two(p, &f, &far_load);
+        if (best < 0 || (far >= 0 && far_load < load * 0.8)) {
+            best = far;
+        }
+    }
+    if (best < 0) {
+        f.ejected = 1;
+        best = choose_two(p, &f, &load);
+    }
+    if (best < 0) {
+        f.navoid = 0;
+        best = choose_two(p, &f, &load);
+    }
+    return best < 0 ? 0 : g_array_index(p->handles, SpHandle, best);
+}
+
+static void
+decay(SpPick *p, int64_t now)
+{
+    double f = exp(-(double)(now - p->decayed) / THROTTLE_TAU_US);
+
+    p->asked *= f;
+    p->accepted *= f;
+    p->decayed = now;
+}
+
+int
+SpPick_Throttle(SpPick *p, int64_t now, int class)
+{
+    double k = class == 0 ? THROTTLE_K_FIRST : THROTTLE_K, refuse;
+
+    decay(p, now);
+    refuse = (p->asked - k * p->accepted - THROTTLE_MIN) / (p->asked + 1);
+    if (refuse > 0 && SpRand_Unit(&p->rand) < refuse) {
+        p->asked++;
+        return 1;
+    }
+    return 0;
+}
+
+void
+SpPick_Sent(SpPick *p, SpHandle h)
+{
+    SpTarget *t = SpTable_Get(p->table, h);
+
+    if (t) {
+        t->inflight++;
+        t->sent++;
+    }
+}
+
+static void
+eject(SpPick *p, SpTarget *t, int64_t now)
+{
+    guint i, out = 0;
+
+    for (i = 0; i < p->handles->len; i++) {
+        out += target_at(p, i)->ejected_until > now;
+    }
+    if (p->o.plain || (out + 1) * 2 > p->handles->len) {
+        return;
+    }
+    t->ejected_until =
+        now + MIN(EJECT_US << MIN(t->ejections, 5), EJECT_MAX_US);
+    t->ejections++;
+    t->fails = 0;
+}
+
+void
+SpPick_Answered(SpPick *p, int64_t now, SpHandle h, int64_t run_us, int ok,
+                int load, int leaving)
+{
+    SpTarget *t = SpTable_Get(p->table, h);
+
+    decay(p, now);
+    p->asked++;
+    p->accepted += ok;
+    if (!t) {
+        return;
+    }
+    t->inflight--;
+    if (leaving) {
+        t->takes = 0;
+    }
+    if (load >= 0) {
+        t->load = load;
+        t->load_at = now;
+    }
+    if (ok) {
+        t->fails = 0;
+        t->ejections = 0;
+        t->run_us +=
+            ((double)run_us - t->run_us) * (t->run_us > 0 ? RUN_WEIGHT : 1);
+    }
+    else if (++t->fails >= EJECT_FAILS) {
+        eject(p, t, now);
+    }
+}
+
+void
+SpPick_Clock(SpPick *p, int64_t now, SpHandle h, int64_t clock_ms)
+{
+    SpTarget *t = SpTable_Get(p->table, h);
+
+    if (t && clock_ms > t->clock_ms) {
+        t->clock_ms = clock_ms;
+        t->clock_at = now;
+    }
+}
--- /dev/null
+++ b/core/send.c
@@ -0,0 +1,284 @@
+/* Requests to other nodes: target, send, retry. */
+#include <string.h>
+
+#include "core/state.h"
+
+#define MAX_TOKENS 10.0
+#define MAX_HANDOFFS 2
+/* A target answers this long before the sender gives up. */
+#define HOP_US (2 * SP_MS)
+/* A retry that could not be answered in this time is not sent. */
+#define RETRY_LEAST_US (5 * SP_MS)
+#define KEY_FRESH_DIV 2
+
+SpPick *
+SpCore_PickOf(SpCore *c, const char *service)
+{
+    SpPick *p = g_hash_table_lookup(c->picks, service);
+    SpPickOpts o = {"", 0, 5000, 0};
+    int i = c->doc ? SpDoc_Service(c->doc, service) : -1;
+
+    if (p) {
+        return p;
+    }
+    g_strlcpy(o.zone, c->o.zone, sizeof o.zone);
+    o.seed = SpRand(&c->rand);
+    if (i >= 0) {
+        o.ramp_ms = c->doc->services[i].ramp_ms;
+        o.plain = c->doc->policy != SP_POLICY_FULL;
+    }
+    p = SpPick_New(&o);
+    g_hash_table_insert(c->picks, g_strdup(service), p);
+    return p;
+}
+
+/* Bind the request to a home chosen here, before its first send. */
+static SpHandle
+bind_key(SpCore *c, int64_t now, SpReq *r, SpPick *p, const char *const *avoid,
+         int navoid)
+{
+    int64_t fresh =
+        c->doc ? c->doc->limits.key_ttl_ms * SP_MS / KEY_FRESH_DIV : 1;
+    SpHandle h = SpPick_Choose(p, now, avoid, navoid, fresh);
+    const SpTarget *t = SpPick_Get(p, h);
+
+    if (!t) {
+        t = SpPick_Get(p, SpPick_Choose(p, now, avoid, navoid, 0));
+        if (t) {
+            /* its answer tells the clock, for the next request */
+            SpMembers_Notify(c->members, now, t->name);
+        }
+        return 0;
+    }
+    g_strlcpy(r->key.home, t->name, sizeof r->key.home);
+    r->key.inc = t->inc;
+    r->key.clock_ms = t->clock_ms;
+    if (strcmp(t->name, c->o.name) == 0) {
+        r->key.clock_ms = SpMembers_Clock(c->members, now);
+    }
+    r->key.nonce = SpRand(&c->rand);
+    r->keyed = 1;
+    SpBoundKey_Print(&r->key, r->key_text, sizeof r->key_text);
+    return h;
+}
+
+static SpHandle
+choose(SpCore *c, int64_t now, SpReq *r, SpPick *p)
+{
+    const char *avoid[SP_MAX_TRIED + 1];
+    const SpTarget *t;
+    SpHandle h;
+    int i, n = 0;
+
+    for (i = 0; i < r->ntried; i++) {
+        avoid[n++] = r->tried[i];
+    }
+    if (r->call.source == SP_FROM_CALLER) {
+        avoid[n++] = c->o.name;
+    }
+    if (!r->keyed && r->own_key) {
+        return bind_key(c, now, r, p, avoid, n);
+    }
+    if (!r->keyed) {
+        return SpPick_Choose(p, now, avoid, n, 0);
+    }
+    h = SpPick_Find(p, r->key.home);
+    t = SpPick_Get(p, h);
+    return t && t->inc == r->key.inc ? h : 0;
+}
+
+static void
+note_tried(SpReq *r, const char *name)
+{
+    if (r->ntried < SP_MAX_TRIED) {
+        g_strlcpy(r->tried[r->ntried++], name, SP_NAME_BYTES);
+    }
+}
+
+static int
+is_throttled(SpCore *c, int64_t now, const SpReq *r, SpPick *p)
+{
+    return r->sends == 0 && c->doc && c->doc->policy == SP_POLICY_FULL &&
+           !(r->keyed && !r->own_key) && SpPick_Throttle(p, now, r->class);
+}
+
+void
+SpReq_Send(SpCore *c, int64_t now, SpReq *r)
+{
+    SpPick *p = SpCore_PickOf(c, r->service);
+    const SpTarget *t;
+    SpSend s;
+
+    if (is_throttled(c, now, r, p)) {
+        SpReq_Refuse(c, now, r, SP_THROTTLED);
+        return;
+    }
+    r->target = choose(c, now, r, p);
+    t = SpPick_Get(p, r->target);
+    if (!t) {
+        SpReq_Refuse(c, now, r,
+                     r->keyed && !r->own_key ? SP_HOME_GONE : SP_NO_TARGET);
+        return;
+    }
+    if (r->sends == 0 && c->doc) {
+        c->retry_tokens =
+            MIN(MAX_TOKENS, c->retry_tokens + c->doc->retries.ratio);
+    }
+    note_tried(r, t->name);
+    SpReq_FillSend(r, now, &s);
+    r->state = SP_REQ_SENT;
+    r->sends++;
+    r->lent = r->budget;
+    r->budget = 0;
+    s.budget = r->lent;
+    s.timeout_us = MAX(1, s.timeout_us - HOP_US);
+    s.mesh = t->mesh;
+    c->n.sends++;
+    SpPick_Sent(p, r->target);
+    c->o.ops->send(c->o.ctx, &s);
+}
+
+/* The send in flight will not be answered; its retries count as spent. */
+void
+SpReq_Lose(SpCore *c, SpReq *r)
+{
+    SpPick *p = SpCore_PickOf(c, r->service);
+
+    SpPick_Answered(p, r->started, r->target, 0, 1, -1, 0);
+    r->lent = 0;
+    r->maybe_ran = 1;
+}
+
+static int
+has_failed(const SpAnswer *a)
+{
+    return a->kind != SP_OK || a->status >= 500;
+}
+
+static int
+take_token(SpCore *c)
+{
+    if (c->retry_tokens < 1) {
+        c->n.retries_denied++;
+        return 0;
+    }
+    c->retry_tokens -= 1;
+    return 1;
+}
+
+/* The request surely did not run there and could not have been queued. */
+static int
+is_handoff(const SpReq *r, const SpAnswer *a)
+{
+    return (a->kind == SP_LEAVING || a->kind == SP_UNREACHABLE) &&
+           r->handoffs < MAX_HANDOFFS;
+}
+
+/* May this very request be sent once more, whatever the cost? */
+static int
+is_safe_again(const SpReq *r, const SpAnswer *a)
+{
+    if (r->keyed && !r->own_key) {
+        /* only its home can take it, and a refusal there is for ever */
+        return a->kind == SP_BROKEN ||
+               (a->kind == SP_UNREACHABLE && !a->certified);
+    }
+    if (r->own_key) {
+        return a->kind == SP_BROKEN || a->kind == SP_UNREACHABLE ||
+               (a->certified && a->outcome == SP_NOT_RUN);
+    }
+    return r->idempotent;
+}
+
+static int
+may_retry(SpCore *c, int64_t now, SpReq *r, const SpAnswer *a)
+{
+    const SpDoc *d = c->doc;
+
+    if (!has_failed(a) || !d || !is_safe_again(r, a) || r->detached) {
+        return 0;
+    }
+    if (r->deadline - now < RETRY_LEAST_US) {
+        return 0;
+    }
+    if (d->policy != SP_POLICY_FULL) {
+        if (r->sends > d->hop.retries) {
+            return 0;
+        }
+        c->n.retries++;
+        return 1;
+    }
+    if (a->kind != SP_OK && !SpKind_Info(a->kind)->retry) {
+        return 0;
+    }
+    if (is_handoff(r, a)) {
+        r->handoffs++;
+        c->n.handoffs++;
+        return 1;
+    }
+    if (a->below || r->budget < 1 || !take_token(c)) {
+        return 0;
+    }
+    r->budget--;
+    r->retried++;
+    c->n.retries++;
+    return 1;
+}
+
+static void
+learn(SpCore *c, int64_t now, SpReq *r, const SpAnswer *a)
+{
+    SpPick *p = SpCore_PickOf(c, r->service);
+    int failed = a->kind == SP_BROKEN || a->kind == SP_UNREACHABLE ||
+                 a->kind == SP_TIMEOUT || a->kind == SP_QUEUE_FULL ||
+                 a->status == 500 || a->status == 502;
+
+    if (a->kind == SP_OK && a->below) {
+        failed = 0;
+    }
+    SpPick_Answered(p, now, r->target, now - r->started, !failed, a->load,
+                    a->leaving);
+    if (a->clock_ms >= 0) {
+        SpPick_Clock(p, now, r->target, a->clock_ms);
+        SpMembers_Heard(c->members, now, a->from, a->from_inc, a->clock_ms);
+    }
+    SpView_Note(SpCore_View(c->serv_views, r->service), now, a->level);
+    if (a->level >= 0 && (r->level < 0 || a->level < r->level)) {
+        r->level = a->level;
+    }
+    if (!(a->outcome == SP_NOT_RUN)) {
+        r->maybe_ran = 1;
+    }
+    r->budget += CLAMP(a->budget, 0, r->lent);
+    r->lent = 0;
+}
+
+void
+SpCore_Replied(SpCore *c, int64_t now, SpHandle h, uint32_t number,
+               const SpAnswer *given)
+{
+    SpReq *r = SpCore_Req(c, h);
+    SpAnswer a = *given;
+
+    if (!r || r->state != SP_REQ_SENT || r->number != number) {
+        return;
+    }
+    if (a.kind == SP_BROKEN || a.kind == SP_UNREACHABLE) {
+        /* nothing came back: what was lent is spent, unless never sent */
+        a.budget = a.kind == SP_UNREACHABLE && !a.from[0] ? r->lent : 0;
+    }
+    learn(c, now, r, &a);
+    if (may_retry(c, now, r, &a)) {
+        if (r->own_key &&
+            (a.certified || (a.kind == SP_UNREACHABLE && !r->maybe_ran))) {
+            /* that key is dead or never left this node; bind another */
+            r->keyed = 0;
+            r->maybe_ran = 0;
+        }
+        SpReq_Send(c, now, r);
+        return;
+    }
+    r->state = SP_REQ_NEW;
+    a.below = a.below || has_failed(&a);
+    SpReq_End(c, now, r, &a);
+}
--- /dev/null
+++ b/core/state.h
@@ -0,0 +1,124 @@
+/*
+ * state: what the files of core share. Not for users of the library.
+ */
+#ifndef SP_STATE_H
+#define SP_STATE_H
+
+#include "core/core.h"
+
+#define SP_MAX_TRIED 6
+
+typedef enum {
+    SP_REQ_NEW,
+    SP_REQ_QUEUED,  /* in the gate's queue */
+    SP_REQ_RUNNING, /* in the own instance */
+    SP_REQ_SENT,    /* to a target */
+    SP_REQ_PARKED   /* behind another request with the same key */
+} SpReqState;
+
+/* What the entries know of a route or a service: the level it admits. */
+typedef struct SpLevelView {
+    double level; /* rank below which requests are admitted */
+    int64_t at;   /* of the last answer that carried one */
+} SpLevelView;
+
+typedef struct SpReq {
+    SpHandle self;
+    SpCall call;
+    SpReqState state;
+    SpHandle parent;
+    uint64_t span;
+    int64_t arrived, deadline, started;
+    char route[SP_NAME_BYTES];
+    char service[SP_NAME_BYTES];
+    int class, slice;
+    int idempotent, optional;
+    int budget;    /* retries that may still be spent below here */
+    int lent;      /* of them, out with the send in flight */
+    int level;     /* lowest that an answer carried; -1 none */
+    int below;     /* a call that this request made has failed */
+    int maybe_ran; /* some send of it may have run */
+    int handoffs;  /* sends to another target that cost no retry */
+    int retried;   /* sends that were retries */
+    int keyed;     /* has a bound key */
+    int own_key;   /* the key was bound here, nothing else knows it */
+    SpBoundKey key;
+    char key_text[SP_KEY_TEXT];
+    uint64_t digest;
+    int detached;    /* nobody waits for the answer any more */
+    uint32_t number; /* of the run or send in flight */
+    int sends;
+    SpHandle target;
+    char tried[SP_MAX_TRIED][SP_NAME_BYTES];
+    int ntried;
+    SpHandle entry; /* in the gate's queue */
+    SpHandle next_parked;
+    SpHandle parked; /* first request that waits for this one's key */
+} SpReq;
+
+struct SpCore {
+    SpCoreOpts o;
+    SpCounters n;
+    SpTable *reqs;
+    GHashTable *by_span; /* uint64 -> SpHandle of a running request */
+    GHashTable *by_key;  /* key text -> SpHandle at the home */
+    SpGate *gate;
+    SpKeys *keys;
+    SpMembers *members;
+    SpVersions *versions;
+    SpLine *line;
+    GHashTable *picks;       /* service name -> SpPick */
+    GHashTable *route_views; /* route name -> SpLevelView */
+    GHashTable *serv_views;  /* service name -> SpLevelView */
+    GHashTable *senders;     /* node name -> int64 of its last call */
+    const SpDoc *doc;
+    uint64_t rand;
+    int64_t told_at; /* time of the event that is being handled */
+    int64_t views_ticked;
+    double retry_tokens;
+
+    SpInstState inst;
+    int64_t inst_at; /* last announcement; -1 none */
+    int inst_slots;
+    int drained;
+    int64_t leaving_at; /* 0 if not leaving */
+    int stopping;
+
+    int reading; /* a read of the config stream is out */
+    int64_t next_read, next_announce, next_members, next_ask, next_keep;
+    int announced; /* appended to the members stream once */
+    int log_ok;
+    int64_t members_from; /* next offset of the members stream */
+    uint64_t tag;
+};
+
+/* call.c */
+void SpReq_End(SpCore *c, int64_t now, SpReq *r, const SpAnswer *a);
+void SpReq_Refuse(SpCore *c, int64_t now, SpReq *r, SpKind k);
+/* send.c */
+void SpReq_Send(SpCore *c, int64_t now, SpReq *r);
+SpPick *SpCore_PickOf(SpCore *c, const char *service);
+void SpReq_Lose(SpCore *c, SpReq *r);
+/* run.c */
+void SpReq_Run(SpCore *c, int64_t now, SpReq *r);
+void SpReq_FillSend(SpReq *r, int64_t now, SpSend *s);
+void SpReq_Place(SpCore *c, int64_t now, SpReq *r);
+void SpCore_Pump(SpCore *c, int64_t now);
+void SpReq_CancelRun(SpCore *c, int64_t now, SpReq *r);
+/* views.c */
+SpLevelView *SpCore_View(GHashTable *views, const char *name);
+void SpView_Note(SpLevelView *v, int64_t now, int level);
+void SpCore_TickViews(SpCore *c, int64_t now);
+/* core.c */
+int64_t SpCore_WallMs(const SpCore *c, int64_t now);
+int SpCore_TakesWork(const SpCore *c, int64_t now);
+int SpCore_IsLeaving(const SpCore *c);
+void SpCore_Event(SpCore *c, int64_t now, const char *kind, const char *fmt,
+                  ...) G_GNUC_PRINTF(4, 5);
+SpReq *SpCore_Req(const SpCore *c, SpHandle h);
+void SpAnswer_Init(SpAnswer *a, SpKind k);
+/* SpAnswer_Sign fills in what this node says of itself. */
+void SpAnswer_Sign(const SpCore *c, int64_t now, SpAnswer *a);
+int SpReq_Rank(const SpReq *r);
+
+#endif
--- /dev/null
+++ b/demo/demo.sh
@@ -0,0 +1,28 @@
+#!/bin/bash
+# demo: the Resale Mesh on this machine, and some seconds of calls to it.
+set -u
+OUT=$(realpath "${1:-out}")
+HERE=$(dirname "$(realpath "$0")")
+DIR=$(mktemp -d)
+. "$HERE/mesh.sh"
+. "$HERE/resale.sh"
+trap 'stop_all; rm -rf "$DIR"' EXIT
+
+: >"$DIR/layout"
+resale_layout
+echo "demo: starting 17 nodes, their instances and the log"
+start_mesh "$HERE/../examples/resale-mesh.json" "$(resale_routes 10)" || {
+    tail -qn 1 "$DIR"/*.err >&2
+    exit 1
+}
+cat >"$DIR/load.json" <<END
+{"mix": $(resale_mix), "steps": [{"seconds": 8, "rate": 200}],
+ "retries": 2, "timeout_ms": 3000, "control": "$CONTROL"}
+END
+echo "demo: sending calls up to four services deep"
+"$OUT/spload" -c "$DIR/load.json"
+status=$?
+echo "demo: stopping"
+last=$(get "$CONTROL" /counts | tail -n 1)
+echo "demo: the instances counted: $last"
+exit $status
--- /dev/null
+++ b/node/spnode.c
@@ -0,0 +1,250 @@
+/* spnode: the node daemon. One runs beside each upstream instance. */
+#include <getopt.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "node/fns.h"
+
+#define VERSION "0.1.0"
+#define STOP_MS 15000
+/* Other nodes hear of the leave before the listeners close. */
+#define NOTICE_US (1500 * SP_MS)
+
+static void
+on_event(void *ctx, const SpEvent *e)
+{
+    (void)ctx;
+    SpLog(SP_LOG_INFO, e->kind, "hlc=%" PRIu64 ".%u %s", e->hlc >> 16,
+          (unsigned)(e->hlc & 0xffff), e->text);
+}
+
+static const SpCoreOps core_ops = {
+    .run = run_call,
+    .send = send_call,
+    .cancel = cancel_call,
+    .answer = answer_call,
+    .done = done_call,
+    .peer = send_peer,
+    .append = append_log,
+    .read = read_log,
+    .event = on_event,
+};
+
+static int
+usage(FILE *f, int status)
+{
+    fprintf(f, "usage: spnode [-t] -c SETTINGS\n"
+               "  -c, --config FILE  settings, JSON\n"
+               "  -t, --test         check the settings only\n"
+               "  -h, --help         print this\n"
+               "  -V, --version      print the version\n");
+    return status;
+}
+
+static void
+finish(Node *n, const char *how)
+{
+    SpLog(SP_LOG_INFO, "stopped", "how=%s requests=%zu ms=%" PRId64, how,
+          SpCore_Requests(n->core),
+          n->stop_at ? (SpClock_Now() - n->stop_at) / SP_MS : 0);
+    fflush(NULL);
+    uv_stop(n->loop);
+}
+
+static int64_t
+stop_bound(const Node *n)
+{
+    const SpDoc *d = SpCore_Doc(n->core);
+
+    if (n->set.stop_ms) {
+        return n->set.stop_ms * SP_MS;
+    }
+    return (d ? d->limits.stop_ms : STOP_MS) * SP_MS;
+}
+
+static void
+check_stop(Node *n, int64_t now)
+{
+    if (!n->stop_at) {
+        return;
+    }
+    if (SpCore_Idle(n->core) && now - n->stop_at > NOTICE_US) {
+        finish(n, "drained");
+    }
+    else if (now - n->stop_at > stop_bound(n)) {
+        finish(n, "bound");
+    }
+}
+
+static void
+on_tick(uv_timer_t *t)
+{
+    Node *n = t->data;
+    int64_t now = SpClock_Now();
+
+    poll_peers(n->peers);
+    SpCore_Tick(n->core, now);
+    check_stop(n, now);
+}
+
+static void
+on_signal(uv_signal_t *s, int signum)
+{
+    Node *n = s->data;
+
+    if (n->stop_at) {
+        finish(n, "second-signal");
+        return;
+    }
+    n->stop_at = SpClock_Now();
+    SpLog(SP_LOG_INFO, "stopping",
+          "signal=%d bound_ms=%" PRId64 " requests=%zu", signum,
+          stop_bound(n) / SP_MS, SpCore_Requests(n->core));
+    SpCore_Leave(n->core, n->stop_at);
+}
+
+static uint64_t
+random_word(void)
+{
+    uint64_t v;
+
+    if (getrandom(&v, sizeof v, 0) != (ssize_t)sizeof v) {
+        v = (uint64_t)SpClock_Wall() ^ uv_hrtime();
+    }
+    return v;
+}
+
+static SpCore *
+make_core(Node *n)
+{
+    const SpNodeSettings *s = &n->set;
+    SpCoreOpts o = {.ncontacts = s->ncontacts,
+                    .seed = random_word(),
+                    .slots = s->slots,
+                    .ops = &core_ops,
+                    .ctx = n};
+    int64_t wall = SpClock_Wall();
+
+    g_strlcpy(o.name, s->name, sizeof o.name);
+    g_strlcpy(o.zone, s->zone, sizeof o.zone);
+    g_strlcpy(o.service, s->service, sizeof o.service);
+    g_strlcpy(o.mesh, s->mesh, sizeof o.mesh);
+    g_strlcpy(o.peer, s->peer, sizeof o.peer);
+    memcpy(o.contacts, s->contacts, sizeof o.contacts);
+    o.wall_offset = wall - SpClock_Now();
+    /* milliseconds since 1970, then random bits against a clock set back */
+    o.inc = (uint64_t)(wall / 1000) << 16 | (random_word() & 0xffff);
+    return SpCore_New(&o, SpClock_Now());
+}
+
+static int
+start_node(Node *n, GError **err)
+{
+    SpWebOpts wo = {SP_DOC_BYTES * 2, (size_t)n->set.header_bytes,
+                    n->set.idle_ms, n->set.max_connections};
+
+    n->web = SpWeb_New(n->loop, &wo);
+    n->core = make_core(n);
+    if (!listen_calls(n, err) || !listen_admin(n, err)) {
+        return 0;
+    }
+    n->peers = open_peers(n, err);
+    if (!n->peers) {
+        return 0;
+    }
+    SpWeb_Start(n->web);
+    uv_timer_init(n->loop, &n->tick);
+    n->tick.data = n;
+    uv_timer_start(&n->tick, on_tick, 1, SP_CORE_TICK_US / SP_MS);
+    uv_signal_init(n->loop, &n->term);
+    uv_signal_init(n->loop, &n->intr);
+    n->term.data = n->intr.data = n;
+    uv_signal_start(&n->term, on_signal, SIGTERM);
+    uv_signal_start(&n->intr, on_signal, SIGINT);
+    return 1;
+}
+
+static SpLevel
+level_of(const char *s)
+{
+    static const char *const names[] = {"error", "warn", "info", "debug"};
+    int i;
+
+    for (i = 0; i < 4; i++) {
+        if (strcmp(names[i], s) == 0) {
+            return (SpLevel)i;
+        }
+    }
+    return SP_LOG_INFO;
+}
+
+static int
+load(Node *n, const char *file)
+{
+    SpProblems *ps = SpProblems_New();
+    int ok = SpNodeSettings_Load(file, &n->set, ps);
+
+    SpProblems_Print(ps, "spnode", file, stderr);
+    SpProblems_Free(ps);
+    return ok;
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct option options[] = {
+        {"config", required_argument, NULL, 'c'},
+        {"test", no_argument, NULL, 't'},
+        {"help", no_argument, NULL, 'h'},
+        {"version", no_argument, NULL, 'V'},
+        {NULL, 0, NULL, 0}};
+    static Node n;
+    const char *file = NULL;
+    GError *err = NULL;
+    int test = 0, c;
+
+    argv[0] = "spnode"; /* for the messages of getopt */
+    while ((c = getopt_long(argc, argv, "c:thV", options, NULL)) != -1) {
+        switch (c) {
+        case 'c':
+            file = optarg;
+            break;
+        case 't':
+            test = 1;
+            break;
+        case 'h':
+            return usage(stdout, 0);
+        case 'V':
+            printf("spnode %s\n", VERSION);
+            return 0;
+        default:
+            return usage(stderr, 2);
+        }
+    }
+    if (!file || optind != argc) {
+        return usage(stderr, 2);
+    }
+    if (!load(&n, file)) {
+        return 2;
+    }
+    if (test) {
+        printf("spnode: %s: settings are correct\n", file);
+        return 0;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    setvbuf(stderr, NULL, _IOLBF, 0);
+    SpLog_Init("spnode", n.set.name, level_of(n.set.log_level), stderr,
+               SpClock_Wall);
+    n.loop = uv_default_loop();
+    n.began = SpClock_Now();
+    if (!start_node(&n, &err)) {
+        fprintf(stderr, "spnode: %s\n", err->message);
+        return 1;
+    }
+    SpLog(SP_LOG_INFO, "started", "zone=%s service=%s inbound=%s mesh=%s",
+          n.set.zone, n.set.service, n.set.inbound, n.set.mesh);
+    uv_run(n.loop, UV_RUN_DEFAULT);
+    return 0;
+}
--- /dev/null
+++ b/test/unit.c
@@ -0,0 +1,431 @@
+/* Unit tests of the libraries. */
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "core/core.h"
+#include "test/test.h"
+
+/*
+ * base
+ */
+
+static void
+test_arena(void)
+{
+    SpArena *a = SpArena_New();
+    char *big = SpArena_Alloc(a, 100000), *s = SpArena_Str(a, "text");
+
+    memset(big, 1, 100000);
+    CU_ASSERT_STRING_EQUAL(s, "text");
+    CU_ASSERT_PTR_NULL(SpArena_Str(a, NULL));
+    CU_ASSERT_EQUAL((uintptr_t)SpArena_Alloc(a, 3) % 16, 0);
+    SpArena_Free(a);
+}
+
+static void
+test_table(void)
+{
+    SpTable *t = SpTable_New(sizeof(int));
+    SpHandle h[600], again;
+    int *p, i;
+
+    for (i = 0; i < 600; i++) {
+        *(int *)SpTable_Add(t, &h[i]) = i;
+    }
+    p = SpTable_Get(t, h[300]);
+    CU_ASSERT_EQUAL(*p, 300);
+    SpTable_Remove(t, h[300]);
+    CU_ASSERT_PTR_NULL(SpTable_Get(t, h[300]));
+    SpTable_Add(t, &again);
+    CU_ASSERT_NOT_EQUAL(again, h[300]);
+    CU_ASSERT_PTR_NULL(SpTable_Get(t, h[300]));
+    CU_ASSERT_EQUAL(SpTable_Count(t), 600);
+    CU_ASSERT_PTR_NULL(SpTable_Get(t, 0));
+    SpTable_Free(t);
+}
+
+static void
+test_kinds(void)
+{
+    int k;
+
+    for (k = 0; k < SP_NKINDS; k++) {
+        const SpKindInfo *i = SpKind_Info((SpKind)k);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(i->name);
+        CU_ASSERT_EQUAL(SpKind_ByName(i->name), (SpKind)k);
+        CU_ASSERT(i->status >= 200 && i->status < 600);
+        CU_ASSERT((k == SP_OK) == (i->outcome == SP_DONE));
+    }
+    CU_ASSERT_EQUAL(SpKind_ByName("no such kind"), SP_NKINDS);
+}
+
+static void
+test_parse(void)
+{
+    char buf[64];
+    int64_t v;
+    uint64_t h;
+    int port;
+
+    CU_ASSERT(SpParse_Int("42", 2, 0, 100, &v) && v == 42);
+    CU_ASSERT(!SpParse_Int("42x", 3, 0, 100, &v));
+    CU_ASSERT(!SpParse_Int("101", 3, 0, 100, &v));
+    CU_ASSERT(!SpParse_Int("", 0, 0, 100, &v));
+    CU_ASSERT(!SpParse_Int("99999999999999999999999", 23, 0, 100, &v));
+    CU_ASSERT(SpParse_Hex("ff", 2, &h) && h == 255);
+    CU_ASSERT(!SpParse_Hex("fg", 2, &h));
+    CU_ASSERT(SpParse_Addr("127.0.0.1:80", buf, sizeof buf, &port));
+    CU_ASSERT(port == 80 && strcmp(buf, "127.0.0.1") == 0);
+    CU_ASSERT(!SpParse_Addr("localhost:80", NULL, 0, NULL));
+    CU_ASSERT(!SpParse_Addr("127.0.0.1:0", NULL, 0, NULL));
+    CU_ASSERT(!SpParse_Addr("127.0.0.1", NULL, 0, NULL));
+    CU_ASSERT(SpEqual_Const("abc", "abc"));
+    CU_ASSERT(!SpEqual_Const("abc", "abcabc"));
+    CU_ASSERT(!SpEqual_Const("abc", ""));
+    CU_ASSERT(SpEqual_Const("", ""));
+    CU_ASSERT_STRING_EQUAL(SpLog_Quote(buf, sizeof buf, "a b\n\"c"),
+                           "\"a b\\x0a\\\"c\"");
+}
+
+/*
+ * conf
+ */
+
+static SpDoc *
+parse(const char *text, SpProblems **ps)
+{
+    *ps = SpProblems_New();
+    return SpDoc_Parse(text, strlen(text), *ps);
+}
+
+static int
+has_problem(const SpProblems *ps, const char *place)
+{
+    guint i;
+
+    for (i = 0; i < SpProblems_Count(ps); i++) {
+        if (strcmp(SpProblems_At(ps, i)->place, place) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static void
+test_doc(void)
+{
+    gchar *text;
+    SpProblems *ps;
+    SpDoc *d;
+    int r;
+
+    CU_ASSERT_FATAL(
+        g_file_get_contents("examples/resale-mesh.json", &text, NULL, NULL));
+    d = parse(text, &ps);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(d);
+    r = SpDoc_Route(d, "GET", "/catalogue/page?x=1");
+    CU_ASSERT_STRING_EQUAL(d->routes[r].name, "page");
+    CU_ASSERT_EQUAL(SpDoc_Route(d, "POST", "/catalogue/page"), -1);
+    CU_ASSERT_EQUAL(SpDoc_Route(d, "GET", "/catalogue/pages"), -1);
+    CU_ASSERT(SpDoc_Route(d, "GET", "/catalogue/page/9") >= 0);
+    SpProblems_Free(ps);
+    g_free(d);
+    g_free(text);
+}
+
+static void
+test_bad_doc(void)
+{
+    static const char text[] =
+        "{\"format\": 2, \"name\": \"X\", \"classes\": [\"a\", \"a\"],"
+        " \"retries\": {\"per_request\": 99, \"ratio\": \"x\"},"
+        " \"surprise\": 1, \"services\": [{\"name\": \"s\", \"slots\": 0,"
+        " \"connections\": 1}], \"routes\": [{\"name\": \"r\","
+        " \"service\": \"t\", \"class\": \"b\", \"method\": \"GET\","
+        " \"path\": \"x\", \"idempotent\": false, \"deadline_ms\": 1}]}";
+    static const char *const places[] = {"format",
+                                         "name",
+                                         "classes[1]",
+                                         "retries.per_request",
+                                         "retries.ratio",
+                                         "surprise",
+                                         "services[0].slots",
+                                         "routes[0].service",
+                                         "routes[0].class",
+                                         "routes[0].path",
+                                         "routes[0].idempotent"};
+    SpProblems *ps;
+    SpDoc *d = parse(text, &ps);
+    size_t i;
+
+    CU_ASSERT_PTR_NULL(d);
+    for (i = 0; i < G_N_ELEMENTS(places); i++) {
+        CU_ASSERT(has_problem(ps, places[i]));
+    }
+    SpProblems_Free(ps);
+    d = parse("{\"format\": 1, \"format\": 1}", &ps);
+    CU_ASSERT_PTR_NULL(d);
+    CU_ASSERT(has_problem(ps, "line 1, column 22"));
+    SpProblems_Free(ps);
+}
+
+/*
+ * gate
+ */
+
+static SpGate *
+small_gate(int slots, int queue)
+{
+    SpGateOpts o = {SP_POLICY_FULL, slots, queue, 0, 20 * SP_MS, 3};
+
+    return SpGate_New(&o, 0);
+}
+
+static SpGateVerdict
+arrive(SpGate *g, int64_t now, SpHandle id, int class, int inner,
+       SpHandle *evicted)
+{
+    SpGateAsk ask = {id, class * SP_SLICES, inner, now + SP_SEC};
+    SpHandle entry;
+
+    return SpGate_Arrive(g, now, &ask, &entry, evicted);
+}
+
+static void
+test_gate_order(void)
+{
+    SpGate *g = small_gate(1, 3);
+    SpHandle ev;
+    int late;
+
+    CU_ASSERT_EQUAL(arrive(g, 0, 1, 2, 0, &ev), SP_GATE_RUN);
+    CU_ASSERT_EQUAL(arrive(g, 0, 2, 2, 0, &ev), SP_GATE_QUEUED);
+    CU_ASSERT_EQUAL(arrive(g, 0, 3, 2, 1, &ev), SP_GATE_QUEUED);
+    CU_ASSERT_EQUAL(arrive(g, 0, 4, 1, 0, &ev), SP_GATE_QUEUED);
+    /* full: the least important makes room, and only for more important */
+    CU_ASSERT_EQUAL(arrive(g, 0, 5, 2, 0, &ev), SP_GATE_FULL);
+    CU_ASSERT_EQUAL(arrive(g, 0, 6, 0, 0, &ev), SP_GATE_QUEUED);
+    CU_ASSERT_EQUAL(ev, 2);
+    CU_ASSERT_EQUAL(SpGate_Next(g, 0, &late), 0);
+    SpGate_Done(g, 0, 2 * SP_SLICES, 1000, 1, 0);
+    CU_ASSERT_EQUAL(SpGate_Next(g, 0, &late), 6);
+    SpGate_Done(g, 0, 0, 1000, 1, 0);
+    CU_ASSERT_EQUAL(SpGate_Next(g, 0, &late), 4);
+    SpGate_Done(g, 0, SP_SLICES, 1000, 1, 0);
+    CU_ASSERT_EQUAL(SpGate_Next(g, 0, &late), 3);
+    SpGate_Free(g);
+}
+
+static void
+test_gate_late(void)
+{
+    SpGate *g = small_gate(1, 10);
+    SpHandle ev;
+    int late = 0;
+
+    arrive(g, 0, 1, 2, 0, &ev);
+    arrive(g, 0, 2, 2, 0, &ev);
+    /* dropped before a slot is free, never run */
+    CU_ASSERT_EQUAL(SpGate_Next(g, 2 * SP_SEC, &late), 2);
+    CU_ASSERT_EQUAL(late, 1);
+    CU_ASSERT_EQUAL(SpGate_Queued(g), 0);
+    SpGate_Free(g);
+}
+
+/*
+ * keys
+ */
+
+static SpBoundKey
+key_at(int64_t clock_ms, uint64_t nonce)
+{
+    SpBoundKey k = {"a", 1, clock_ms, nonce};
+
+    return k;
+}
+
+static void
+test_keys(void)
+{
+    SpKeys *ks = SpKeys_New(2, 1000);
+    SpBoundKey k1 = key_at(10, 1), k2 = key_at(20, 2), k3 = key_at(30, 3);
+    SpBoundKey k4 = key_at(40, 4);
+    SpAnswer a = {.kind = SP_OK, .status = 200, .body = "x", .body_len = 1};
+    const SpAnswer *kept;
+
+    CU_ASSERT_EQUAL(SpKeys_Begin(ks, 50, &k1, 7, &kept), SP_KEY_NEW);
+    CU_ASSERT_EQUAL(SpKeys_Begin(ks, 50, &k1, 7, &kept), SP_KEY_RUNNING);
+    CU_ASSERT_EQUAL(SpKeys_Begin(ks, 50, &k1, 8, &kept), SP_KEY_OTHER);
+    SpKeys_Answer(ks, &k1, &a);
+    CU_ASSERT_EQUAL(SpKeys_Begin(ks, 50, &k1, 7, &kept), SP_KEY_ANSWERED);
+    CU_ASSERT_EQUAL(kept->body[0], 'x');
+    SpKeys_Refuse(ks, 50, &k2);
+    CU_ASSERT_EQUAL(SpKeys_Begin(ks, 50, &k2, 7, &kept), SP_KEY_NEVER);
+    /* full: refused, and still refused when there is room again */
+    CU_ASSERT_EQUAL(SpKeys_Begin(ks, 50, &k3, 7, &kept), SP_KEY_NOROOM);
+    CU_ASSERT_EQUAL(SpKeys_Begin(ks, 1025, &k3, 7, &kept), SP_KEY_NEVER);
+    CU_ASSERT_EQUAL(SpKeys_Begin(ks, 1051, &k1, 7, &kept), SP_KEY_OLD);
+    CU_ASSERT_EQUAL(SpKeys_Begin(ks, 1035, &k3, 7, &kept), SP_KEY_OLD);
+    CU_ASSERT_EQUAL(SpKeys_Begin(ks, 1040, &k4, 7, &kept), SP_KEY_NEW);
+    /* a key of a clock that is not there yet */
+    k4 = key_at(5000, 5);
+    CU_ASSERT_EQUAL(SpKeys_Begin(ks, 1041, &k4, 7, &kept), SP_KEY_NEVER);
+    SpKeys_Free(ks);
+}
+
+static void
+test_key_text(void)
+{
+    SpBoundKey k = {"sales-1", 0xabc, 77, 0x1234}, back;
+    char s[SP_KEY_TEXT];
+
+    SpBoundKey_Print(&k, s, sizeof s);
+    CU_ASSERT_STRING_EQUAL(s, "sales-1~abc~4d~0000000000001234");
+    CU_ASSERT(SpBoundKey_Parse(s, &back));
+    CU_ASSERT(back.inc == k.inc && back.nonce == k.nonce &&
+              back.clock_ms == 77);
+    CU_ASSERT(!SpBoundKey_Parse("abc", &back));
+    CU_ASSERT(!SpBoundKey_Parse("a~1~2~3~4", &back));
+    CU_ASSERT(!SpBoundKey_Parse("~1~2~3", &back));
+    CU_ASSERT(!SpBoundKey_Parse("a~x~2~3", &back));
+}
+
+/*
+ * version
+ */
+
+static char *
+doc_text(const char *name)
+{
+    return g_strdup_printf(
+        "{\"format\": 1, \"name\": \"%s\", \"classes\": [\"a\"],"
+        " \"retries\": {\"per_request\": 1, \"ratio\": 0.1}, \"services\":"
+        " [{\"name\": \"s\", \"slots\": 1, \"connections\": 1}], \"routes\":"
+        " [{\"name\": \"r\", \"service\": \"s\", \"class\": \"a\","
+        " \"method\": \"GET\", \"path\": \"/\", \"idempotent\": true,"
+        " \"deadline_ms\": 100}]}",
+        name);
+}
+
+static int
+feed(SpVersions *vs, int64_t offset, const char *id, int replaces,
+     const char *doc)
+{
+    char *text = doc_text(doc);
+    char *rec = SpVersions_MakePublish(id, replaces, "me", "why", 0, text);
+    int changed = SpVersions_Record(vs, 0, offset, rec, strlen(rec));
+
+    g_free(rec);
+    g_free(text);
+    return changed;
+}
+
+static void
+test_versions(void)
+{
+    SpVersions *vs = SpVersions_New();
+
+    SpVersions_Range(vs, 0, 10);
+    CU_ASSERT(feed(vs, 0, "i1", 0, "one"));
+    CU_ASSERT(!feed(vs, 1, "i2", 0, "two"));
+    CU_ASSERT(!feed(vs, 2, "i3", 1, "BAD NAME"));
+    CU_ASSERT(feed(vs, 3, "i4", 1, "four"));
+    CU_ASSERT_EQUAL(SpVersions_State(vs, "i2"), SP_PUB_LOST);
+    CU_ASSERT_EQUAL(SpVersions_State(vs, "i3"), SP_PUB_BAD);
+    CU_ASSERT_EQUAL(SpVersions_State(vs, "i4"), SP_PUB_WON);
+    CU_ASSERT_EQUAL(SpVersions_State(vs, "i5"), SP_PUB_UNSEEN);
+    CU_ASSERT_EQUAL(SpVersions_Current(vs)->number, 2);
+    CU_ASSERT(!feed(vs, 0, "i1", 0, "one"));
+    SpVersions_Free(vs);
+}
+
+/* A fresh reader of a trimmed log must not take a loser for a winner. */
+static void
+test_versions_gap(void)
+{
+    SpVersions *old = SpVersions_New(), *vs = SpVersions_New();
+    char *stale, *good;
+
+    SpVersions_Range(old, 0, 10);
+    feed(old, 0, "i1", 0, "one");
+    stale = SpVersions_MakeKeep(old);
+    feed(old, 1, "i2", 1, "two");
+    good = SpVersions_MakeKeep(old);
+    /* the log holds from offset 2: a stale keep, then a late proposal */
+    SpVersions_Range(vs, 2, 10);
+    CU_ASSERT(SpVersions_Gap(vs));
+    SpVersions_Record(vs, 0, 2, stale, strlen(stale));
+    CU_ASSERT(!feed(vs, 3, "i3", 1, "rogue"));
+    CU_ASSERT(SpVersions_Gap(vs));
+    SpVersions_Record(vs, 0, 4, good, strlen(good));
+    CU_ASSERT_EQUAL(SpVersions_Current(vs)->number, 2);
+    CU_ASSERT_STRING_EQUAL(SpVersions_Current(vs)->id, "i2");
+    /* an old peer changes nothing */
+    CU_ASSERT(!SpVersions_Peer(vs, 0, stale, strlen(stale)));
+    CU_ASSERT_EQUAL(SpVersions_Current(vs)->number, 2);
+    g_free(stale);
+    g_free(good);
+    SpVersions_Free(old);
+    SpVersions_Free(vs);
+}
+
+/*
+ * line
+ */
+
+static void
+test_line(void)
+{
+    SpLine *l = SpLine_New(2);
+    uint64_t a = SpLine_Add(l, 100, "x", "n=%d", 1)->hlc;
+    uint64_t b = SpLine_Add(l, 99, "x", "n=%d", 2)->hlc;
+
+    CU_ASSERT(b > a);
+    SpLine_Heard(l, 100, (uint64_t)5000 << 16);
+    CU_ASSERT(SpLine_Add(l, 101, "x", "n=%d", 3)->hlc > (uint64_t)5000 << 16);
+    /* a clock that runs wild is not followed */
+    SpLine_Heard(l, 100, (uint64_t)500000 << 16);
+    CU_ASSERT(SpLine_Now(l, 102) < (uint64_t)500000 << 16);
+    CU_ASSERT_EQUAL(SpLine_Count(l), 2);
+    CU_ASSERT_STRING_EQUAL(SpLine_At(l, 0)->text, "n=2");
+    SpLine_Free(l);
+}
+
+int
+run_units(void)
+{
+    static const struct {
+        const char *suite, *name;
+        CU_TestFunc f;
+    } tests[] = {{"base", "arena", test_arena},
+                 {"base", "table", test_table},
+                 {"base", "kinds", test_kinds},
+                 {"base", "parse", test_parse},
+                 {"conf", "doc", test_doc},
+                 {"conf", "bad doc", test_bad_doc},
+                 {"core", "gate order", test_gate_order},
+                 {"core", "gate late", test_gate_late},
+                 {"core", "keys", test_keys},
+                 {"core", "key text", test_key_text},
+                 {"core", "versions", test_versions},
+                 {"core", "versions gap", test_versions_gap},
+                 {"core", "line", test_line}};
+    CU_pSuite suite = NULL;
+    const char *last = "";
+    unsigned failures;
+    size_t i;
+
+    CU_initialize_registry();
+    for (i = 0; i < G_N_ELEMENTS(tests); i++) {
+        if (strcmp(last, tests[i].suite) != 0) {
+            suite = CU_add_suite(tests[i].suite, NULL, NULL);
+            last = tests[i].suite;
+        }
+        CU_add_test(suite, tests[i].name, tests[i].f);
+    }
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    failures = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failures ? 1 : 0;
+}
--- /dev/null
+++ b/web/priv.h
@@ -0,0 +1,26 @@
+/* priv: what server.c and client.c share. */
+#ifndef SP_WEB_PRIV_H
+#define SP_WEB_PRIV_H
+
+#include <h2o.h>
+#include <h2o/http1.h>
+#include <h2o/http2.h>
+#include <h2o/http1client.h>
+
+#include "web/web.h"
+
+struct SpWeb {
+    uv_loop_t *loop;
+    SpWebOpts o;
+    h2o_globalconf_t conf;
+    h2o_context_t ctx;
+    int started; /* the context exists: no listener may be added */
+    GPtrArray *listeners;
+    GHashTable *by_sock; /* h2o_socket_t -> SpWebReq in work */
+    int open;
+    h2o_timeout_t io_timeout;
+    h2o_http1client_ctx_t client;
+    GHashTable *pools; /* address -> h2o_socketpool_t */
+};
+
+#endif
