Scenarios and random schedules of faults over the decision library

Cause: nothing showed that sales run once or that a version never goes back when nodes die, stand still, lose answers or are cut off. Mended as they were found: a call refused before its key was read said "not run" of a key that had run; the caller library took a refused connection for a refusal of the key; a leaving member flapped between leaving and down; a reader behind the log's end could force a replaced version; all retries were lent down and lost with one answer; a process that stood still ran calls that nobody waited for any more.

--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,13 @@
 test: all $(OUT)/sptest
 	@test/run.sh $(OUT)
 
+# ten thousand schedules, and the proof that they see deliberate faults
+soak: $(OUT)/sptest
+	$(OUT)/sptest soak -s 1000000 -n 10000
+
+mutants:
+	@test/mutants.sh
+
 demo: all
 	@demo/demo.sh $(OUT)
 
@@ -80,4 +87,4 @@
 -include $(LIBOBJ:.o=.d) $(WEBOBJ:.o=.d) $(NODEOBJ:.o=.d) \
 	$(wildcard $(OUT)/*/*.d)
 
-.PHONY: all test demo bench format lint clean
+.PHONY: all test soak mutants demo bench format lint clean
--- a/call/call.c
+++ b/call/call.c
@@ -24,7 +24,7 @@
     uv_timer_t timer;
     int timing;
     SpOutcome outcome;
-    int maybe_ran; /* an attempt without a key may have run */
+    int maybe_ran; /* an attempt, with this key or without, may have run */
 } Work;
 
 SpCaller *
@@ -148,10 +148,11 @@
         finish(w, &r);
         return;
     }
-    if (r.outcome == SP_NOT_RUN && w->call.route) {
+    if (f->end == SP_FETCH_OK && r.outcome == SP_NOT_RUN && w->call.route) {
         w->key[0] = '\0'; /* that key never runs */
+        w->maybe_ran = 0;
     }
-    if (r.outcome != SP_NOT_RUN && !w->call.route) {
+    if (r.outcome != SP_NOT_RUN) {
         w->maybe_ran = 1;
     }
     if (!again(w, f)) {
--- a/core/call.c
+++ b/core/call.c
@@ -64,7 +64,8 @@
     if (a->outcome != SP_NOT_RUN) {
         return;
     }
-    if (r->keyed && !a->certified && !(r->own_key && r->sends == 0)) {
+    if ((r->keyed || r->given) && !a->certified &&
+        !(r->own_key && r->sends == 0)) {
         a->outcome = SP_UNKNOWN;
     }
     if (r->maybe_ran && !a->certified) {
@@ -305,6 +306,7 @@
         return PASS;
     }
     r->deadline = now + 2 * SP_SEC;
+    r->given = 0;
     p += strlen(CONTROL);
     if (strncmp(p, "keys/", 5) == 0 && strcmp(r->call.method, "POST") == 0) {
         return make_key(c, now, r, p + 5);
@@ -337,6 +339,7 @@
     }
     g_strlcpy(r->service, c->o.service, sizeof r->service);
     r->idempotent = 1;
+    r->given = 0;
     r->deadline = now + 10 * SP_SEC;
     r->slice = (int)(SpHash(r->call.trace, 16, 0) % SP_SLICES);
     SpReq_Place(c, now, r);
@@ -371,7 +374,9 @@
         return refuse(c, now, r, SP_LATE);
     }
     if (r->call.timeout_us > 0) {
-        r->deadline = MIN(r->deadline, now + r->call.timeout_us);
+        /* it may have waited unread for as long as this process stood still */
+        r->deadline =
+            MIN(r->deadline, now + r->call.timeout_us - SpCore_Stall(c, now));
     }
     if (r->call.source == SP_FROM_INSTANCE && r->call.parent) {
         SpHandle *h = g_hash_table_lookup(c->by_span, &r->call.parent);
@@ -423,6 +428,7 @@
 f_key(SpCore *c, int64_t now, SpReq *r)
 {
     if (r->idempotent) {
+        r->given = 0;
         return PASS;
     }
     r->digest = digest_of(r);
@@ -433,7 +439,7 @@
         }
         return refuse(c, now, r, SP_KEY_REQUIRED);
     }
-    if (!SpBoundKey_Parse(r->call.key, &r->key)) {
+    if (!r->given) {
         return refuse(c, now, r, SP_KEY_REQUIRED);
     }
     r->keyed = 1;
@@ -502,6 +508,7 @@
     r->deadline = now + SP_SEC;
     r->level = -1;
     r->span = SpRand(&c->rand) | 1;
+    r->given = call->key && SpBoundKey_Parse(call->key, &r->key);
     if (call->source == SP_FROM_NODE && call->from && call->from[0]) {
         int64_t *at = g_hash_table_lookup(c->senders, call->from);
         if (!at) {
--- a/core/core.c
+++ b/core/core.c
@@ -19,6 +19,8 @@
 /* The version in force is repeated on the log this often at least. */
 #define KEEP_US (300 * SP_SEC)
 #define ANNOUNCE_US (120 * SP_SEC)
+/* A tick that comes this late tells that the process stood still. */
+#define STALL_US (200 * SP_MS)
 /* Peers told at once of a new version. */
 #define PUSH_PEERS 3
 
@@ -380,6 +382,7 @@
     else if (n > 1 && s[0] == MSG_CONFIG) {
         if (SpVersions_Peer(c->versions, SpCore_WallMs(c, now), s + 1,
                             n - 1)) {
+            c->unforced = 0;
             version_changed(c, now, "peer");
         }
     }
@@ -399,7 +402,6 @@
 static void
 read_config(SpCore *c, int64_t now)
 {
-    c->reading = 1;
     c->n.log_reads++;
     c->next_read = now + READ_LOST_US;
     c->o.ops->read(c->o.ctx, SP_STREAM_CONFIG, SpVersions_Cursor(c->versions));
@@ -524,7 +526,6 @@
         }
         return;
     }
-    c->reading = 0;
     c->next_read = now + (int64_t)((double)read_period(c) *
                                    (0.75 + 0.5 * SpRand_Unit(&c->rand)));
     if (!ok) {
@@ -535,13 +536,17 @@
         changed |= SpVersions_Record(c->versions, SpCore_WallMs(c, now),
                                      r[i].offset, r[i].p, r[i].n);
     }
-    if (changed) {
+    c->caught_up = SpVersions_Cursor(c->versions) >= next;
+    c->unforced |= changed;
+    /* a reader that is behind may not force what is already replaced */
+    if (c->unforced && c->caught_up) {
+        c->unforced = 0;
         version_changed(c, now, "log");
     }
     if (SpVersions_Kept(c->versions) != kept) {
         plan_keep(c, now);
     }
-    if (SpVersions_Cursor(c->versions) < next) {
+    if (!c->caught_up) {
         c->next_read = now;
     }
 }
@@ -630,10 +635,23 @@
     }
 }
 
+int64_t
+SpCore_Stall(const SpCore *c, int64_t now)
+{
+    int64_t gap = now - c->ticked;
+
+    return gap > STALL_US ? gap : c->stall;
+}
+
 void
 SpCore_Tick(SpCore *c, int64_t now)
 {
+    int64_t gap;
+
     c->told_at = MAX(c->told_at, now);
+    gap = now - c->ticked;
+    c->stall = gap > STALL_US ? gap : 0;
+    c->ticked = now;
     SpMembers_Tick(c->members, now);
     check_instance(c, now);
     check_deadlines(c, now);
@@ -687,6 +705,7 @@
     c->o = *o;
     c->rand = o->seed;
     c->told_at = now;
+    c->ticked = now;
     c->inst_at = -1;
     c->log_ok = 1;
     c->next_read = now;
--- a/core/members.c
+++ b/core/members.c
@@ -499,6 +499,9 @@
             if (m && m->state <= SP_IDLE) {
                 set_state(ms, now, m, SP_SUSPECT);
             }
+            else if (m && m->state == SP_LEFT) {
+                set_state(ms, now, m, SP_DOWN);
+            }
             g_array_remove_index_fast(ms->pending, i);
             continue;
         }
@@ -529,9 +532,6 @@
         if (m->state == SP_SUSPECT && age > periods(ms, SUSPECT_PERIODS)) {
             set_state(ms, now, m, SP_DOWN);
         }
-        else if (m->state == SP_LEFT && age > periods(ms, 30)) {
-            set_state(ms, now, m, SP_DOWN);
-        }
         else if (m->state == SP_DOWN && age > periods(ms, FORGET_PERIODS)) {
             drop_member(ms, i);
             continue;
--- a/core/send.c
+++ b/core/send.c
@@ -128,8 +128,10 @@
     SpReq_FillSend(r, now, &s);
     r->state = SP_REQ_SENT;
     r->sends++;
-    r->lent = r->budget;
-    r->budget = 0;
+    /* one retry stays here, in case no answer tells what became of the rest;
+       a single one goes down, to the hop that is next to the failure */
+    r->lent = r->budget >= 2 ? r->budget - 1 : r->budget;
+    r->budget -= r->lent;
     s.budget = r->lent;
     s.timeout_us = MAX(1, s.timeout_us - HOP_US);
     s.mesh = t->mesh;
--- a/core/state.h
+++ b/core/state.h
@@ -41,6 +41,7 @@
     int handoffs;  /* sends to another target that cost no retry */
     int retried;   /* sends that were retries */
     int keyed;     /* has a bound key */
+    int given;     /* the caller gave a bound key */
     int own_key;   /* the key was bound here, nothing else knows it */
     SpBoundKey key;
     char key_text[SP_KEY_TEXT];
@@ -73,6 +74,8 @@
     GHashTable *senders;     /* node name -> int64 of its last call */
     const SpDoc *doc;
     uint64_t rand;
+    int64_t ticked;
+    int64_t stall;   /* this process stood still so long before this tick */
     int64_t told_at; /* time of the event that is being handled */
     int64_t views_ticked;
     double retry_tokens;
@@ -84,7 +87,8 @@
     int64_t leaving_at; /* 0 if not leaving */
     int stopping;
 
-    int reading; /* a read of the config stream is out */
+    int caught_up; /* the last read went to the end of the stream */
+    int unforced;  /* a version waits for that */
     int64_t next_read, next_announce, next_members, next_ask, next_keep;
     int announced; /* appended to the members stream once */
     int log_ok;
@@ -112,6 +116,8 @@
 /* core.c */
 int64_t SpCore_WallMs(const SpCore *c, int64_t now);
 int SpCore_TakesWork(const SpCore *c, int64_t now);
+/* SpCore_Stall: how long a call may have waited unread; 0 usually. */
+int64_t SpCore_Stall(const SpCore *c, int64_t now);
 int SpCore_IsLeaving(const SpCore *c);
 void SpCore_Event(SpCore *c, int64_t now, const char *kind, const char *fmt,
                   ...) G_GNUC_PRINTF(4, 5);
--- /dev/null
+++ b/test/members.sp
@@ -0,0 +1,71 @@
+# Members: kill, replacement, pause, cut zones, an instance that leaves.
+doc one
+{"format": 1, "name": "one", "classes": ["critical", "browse"],
+ "retries": {"per_request": 2, "ratio": 0.5},
+ "services": [{"name": "web", "slots": 4, "connections": 10},
+              {"name": "sales", "slots": 4, "connections": 10,
+               "queue": 4}],
+ "routes": [{"name": "page", "service": "web", "method": "GET",
+             "path": "/page", "class": "browse", "idempotent": true,
+             "deadline_ms": 1000},
+            {"name": "price", "service": "sales", "method": "GET",
+             "path": "/price", "class": "browse", "idempotent": true,
+             "deadline_ms": 1000},
+            {"name": "sell", "service": "sales", "method": "POST",
+             "path": "/sell", "class": "critical", "idempotent": false,
+             "deadline_ms": 1000}]}
+end
+node a web z1 4
+node b sales z1 4
+node c sales z2 4
+node d sales z3 4
+wait 5000
+publish a 0 one
+wait 4000
+members a
+say killed without a word
+kill b
+wait 10000
+members a
+members d
+say replaced: known again within seconds, the old entry gone
+start b
+wait 3000
+members a
+say paused past every lease, then resumed
+pause c
+wait 15000
+members a
+resume c
+wait 4000
+members a
+members c
+say zones cut off and healed
+cut z1 z2
+cut z1 z3
+wait 15000
+members a
+members c
+call p1 a GET /price
+wait 1000
+heal z1 z2
+heal z1 z3
+wait 10000
+members a
+members c
+say an instance that leaves: known at once, takes nothing new
+leave d
+wait 1000
+members a
+members b
+wait 1500
+call p2 d GET /price
+wait 300
+idle d
+say an instance that says nothing any more is not used
+instance c silent
+wait 6000
+members a
+instance c up
+wait 3000
+members a
--- a/test/run.sh
+++ b/test/run.sh
@@ -29,6 +29,11 @@
 grep -E '^ +(Suite|Test):.*FAILED|^ +[0-9]+\. ' "$tmp/unit"
 note unit $status
 
+"$OUT/sptest" soak -n "${SCHEDULES:-300}" >"$tmp/soak" 2>&1
+status=$?
+[ $status -eq 0 ] || cat "$tmp/soak"
+note soak $status
+
 for t in test/*.sp; do
     "$OUT/sptest" run "$t" >"$tmp/got" 2>"$tmp/err"
     status=$?
--- /dev/null
+++ b/test/soak.c
@@ -0,0 +1,643 @@
+/*
+ * Random schedules of faults over the decision library. Each schedule comes
+ * from its seed alone. The checks read what the fakes counted.
+ */
+#include <getopt.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "test/test.h"
+#include "test/world.h"
+
+#define TICK_US (50 * SP_MS)
+#define MAX_OPS 24
+#define MAX_ATTEMPTS 5
+#define MAX_VERSIONS 64
+#define FAULT_US (15 * SP_SEC)
+#define STEP_US (250 * SP_MS)
+#define SETTLE_US (60 * SP_SEC)
+
+/* One thing that a caller wants done once. */
+typedef struct Op {
+    struct Soak *s;
+    char id[16];
+    char key[SP_KEY_TEXT];
+    int asks, attempts, ended;
+    int64_t next_at; /* of its next attempt; 0 while one is out */
+    SpOutcome outcome;
+    int unsure; /* some attempt with this key may have run */
+    int whole;
+} Op;
+
+typedef struct Soak {
+    World *w;
+    uint64_t seed;
+    int verbose;
+    Op ops[MAX_OPS];
+    int nops;
+    char ids[MAX_VERSIONS][SP_ID_BYTES]; /* by version number */
+    int number[W_MAX_NODES];             /* in force, in this process */
+    uint64_t life[W_MAX_NODES];
+    GHashTable *replaces; /* publish id -> version replaced */
+    int cut[3];
+    char *why; /* of the failure */
+} Soak;
+
+static const char *const zones[] = {"z1", "z2", "z3"};
+
+static const char doc_format[] =
+    "{\"format\": 1, \"name\": \"d%d\", \"classes\": [\"critical\","
+    " \"browse\"], \"retries\": {\"per_request\": 2, \"ratio\": 0.5},"
+    " \"limits\": {\"keys\": %d, \"key_ttl_ms\": 4000},"
+    " \"services\": [{\"name\": \"web\", \"slots\": 2, \"connections\": 9},"
+    " {\"name\": \"sales\", \"slots\": 2, \"connections\": 9,"
+    "  \"queue\": 1},"
+    " {\"name\": \"lots\", \"slots\": 2, \"connections\": 9,"
+    "  \"queue\": 2}],"
+    " \"routes\": [{\"name\": \"sell\", \"service\": \"sales\","
+    " \"method\": \"POST\", \"path\": \"/sell\", \"class\": \"critical\","
+    " \"idempotent\": false, \"deadline_ms\": 900},"
+    " {\"name\": \"reserve\", \"service\": \"lots\", \"method\": \"POST\","
+    " \"path\": \"/reserve\", \"class\": \"critical\","
+    " \"idempotent\": false, \"deadline_ms\": 700}]}";
+
+static char *
+make_doc(Soak *s)
+{
+    return g_strdup_printf(doc_format, (int)(World_Rand(s->w) % 1000),
+                           4 + (int)(World_Rand(s->w) % 30));
+}
+
+static void fail(Soak *s, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+
+static void
+fail(Soak *s, const char *fmt, ...)
+{
+    va_list ap;
+
+    if (s->why) {
+        return;
+    }
+    va_start(ap, fmt);
+    s->why = g_strdup_vprintf(fmt, ap);
+    va_end(ap);
+}
+
+static void
+trace(const Soak *s, const char *what, const char *who)
+{
+    if (s->verbose) {
+        printf("%8.3f %s %s\n", (double)World_Now(s->w) / SP_SEC, what, who);
+    }
+}
+
+/*
+ * Callers.
+ */
+
+static int
+random_node(Soak *s)
+{
+    return (int)(World_Rand(s->w) % (unsigned)World_Count(s->w));
+}
+
+static void
+later(Op *op)
+{
+    /* now and then after the home has forgotten the key */
+    int64_t us = World_Unit(op->s->w) < 0.1
+                     ? 5 * SP_SEC
+                     : (int64_t)(World_Unit(op->s->w) * 400) * SP_MS;
+
+    op->next_at = World_Now(op->s->w) + us + 1;
+}
+
+static void
+end_op(Op *op, SpOutcome outcome)
+{
+    op->ended = 1;
+    op->outcome = outcome;
+}
+
+static void
+on_key(void *ctx, World *w, const WResult *r)
+{
+    Op *op = ctx;
+    char *text = g_strndup(r->body ? r->body : "", r->body_len);
+    char *from = strstr(text, ": \""), *to;
+
+    (void)w;
+    to = from ? strchr(from + 3, '"') : NULL;
+    if (r->status == 201 && to) {
+        *to = '\0';
+        g_strlcpy(op->key, from + 3, sizeof op->key);
+    }
+    g_free(text);
+    later(op);
+}
+
+static void
+on_result(void *ctx, World *w, const WResult *r)
+{
+    Op *op = ctx;
+    char want[64];
+
+    (void)w;
+    trace(op->s, SpKind_Info(r->kind)->name, op->id);
+    if (r->kind == SP_OK && r->status == 200) {
+        g_snprintf(want, sizeof want, "%s /sell", op->id);
+        if (r->body_len != strlen(want) ||
+            memcmp(r->body, want, r->body_len) != 0) {
+            fail(op->s, "%s: foreign or cut answer", op->id);
+        }
+        op->whole = 1;
+        end_op(op, SP_DONE);
+        return;
+    }
+    if (r->outcome == SP_DONE) {
+        end_op(op, SP_DONE); /* it ran and says that it failed */
+        return;
+    }
+    if (r->outcome != SP_NOT_RUN) {
+        op->unsure = 1;
+    }
+    if (r->status != 0 && r->outcome == SP_NOT_RUN &&
+        World_Runs(w, op->id, "/sell") > 0) {
+        fail(op->s, "%s: told not run (%s), but it ran", op->id,
+             SpKind_Info(r->kind)->name);
+    }
+    if (r->outcome == SP_NOT_RUN && r->status != 0) {
+        op->key[0] = '\0'; /* it never runs; a new key may be used */
+        op->unsure = 0;
+    }
+    if (op->attempts >= MAX_ATTEMPTS) {
+        end_op(op, op->unsure ? SP_UNKNOWN : r->outcome);
+        return;
+    }
+    later(op);
+}
+
+static void
+drive_op(Op *op)
+{
+    Soak *s = op->s;
+    WCallOpts o = {.id = op->id,
+                   .method = "POST",
+                   .path = "/sell",
+                   .timeout_ms = 900,
+                   .ctx = op};
+
+    if (op->ended || op->next_at == 0 || World_Now(s->w) < op->next_at) {
+        return;
+    }
+    op->next_at = 0;
+    if (!op->key[0]) {
+        o.path = "/.sp/keys/sell";
+        o.cb = on_key;
+        if (++op->asks > 20) {
+            end_op(op, SP_NOT_RUN);
+            return;
+        }
+    }
+    else {
+        o.key = op->key;
+        o.cb = on_result;
+        op->attempts++;
+    }
+    World_Call(s->w, random_node(s), &o);
+}
+
+/*
+ * Faults.
+ */
+
+static void
+do_kill(Soak *s)
+{
+    int i = random_node(s);
+
+    trace(s, "kill", World_Name(s->w, i));
+    World_Kill(s->w, i);
+}
+
+static void
+do_start(Soak *s)
+{
+    int i = random_node(s);
+
+    if (!World_Core(s->w, i)) {
+        trace(s, "start", World_Name(s->w, i));
+        World_Start(s->w, i);
+    }
+}
+
+static void
+do_pause(Soak *s)
+{
+    int i = random_node(s);
+
+    trace(s, "pause", World_Name(s->w, i));
+    World_Pause(s->w, i, 1);
+}
+
+static void
+do_resume(Soak *s)
+{
+    int i = random_node(s);
+
+    trace(s, "resume", World_Name(s->w, i));
+    World_Pause(s->w, i, 0);
+}
+
+static void
+do_cut(Soak *s)
+{
+    int i = (int)(World_Rand(s->w) % 3);
+
+    s->cut[i] = !s->cut[i];
+    trace(s, s->cut[i] ? "cut" : "heal", zones[i]);
+    World_Cut(s->w, zones[i], zones[(i + 1) % 3], s->cut[i]);
+}
+
+static void
+do_log(Soak *s)
+{
+    static const char *const states[] = {"up", "down", "lose"};
+    const char *st = states[World_Rand(s->w) % 3];
+
+    trace(s, "log", st);
+    World_Log(s->w, st);
+}
+
+static void
+do_trim(Soak *s)
+{
+    trace(s, "trim", "");
+    World_Trim(s->w, (int)(World_Rand(s->w) % 4));
+}
+
+static void
+note_publish(Soak *s, char *id, int replaces)
+{
+    g_hash_table_insert(s->replaces, id, GINT_TO_POINTER(replaces));
+}
+
+static void
+do_publish(Soak *s)
+{
+    int i = random_node(s);
+    SpCore *c = World_Core(s->w, i);
+    const SpVersion *v = c ? SpVersions_Current(SpCore_Versions(c)) : NULL;
+    char *text;
+
+    if (!c || !v || World_IsPaused(s->w, i)) {
+        return;
+    }
+    trace(s, "publish", World_Name(s->w, i));
+    text = make_doc(s);
+    note_publish(s, World_Publish(s->w, i, v->number, "soak", text),
+                 v->number);
+    g_free(text);
+}
+
+static void
+do_instance(Soak *s)
+{
+    static const char *const states[] = {"up", "up", "silent", "leaving"};
+    int i = random_node(s);
+
+    if (World_Core(s->w, i)) {
+        World_Instance(s->w, i, states[World_Rand(s->w) % 4]);
+    }
+}
+
+static void
+do_leave(Soak *s)
+{
+    int i = random_node(s);
+
+    trace(s, "leave", World_Name(s->w, i));
+    World_Leave(s->w, i);
+}
+
+static void (*const faults[])(Soak *) = {
+    do_kill, do_start,   do_start,   do_pause,    do_resume, do_resume, do_cut,
+    do_log,  do_publish, do_publish, do_instance, do_leave,  do_trim};
+
+static void
+random_faults(Soak *s)
+{
+    WFaults f = {0};
+
+    if (World_Unit(s->w) < 0.7) {
+        f.lose_call = World_Unit(s->w) * 0.1;
+        f.lose_reply = World_Unit(s->w) * 0.2;
+        f.double_call = World_Unit(s->w) * 0.2;
+        f.delay = World_Unit(s->w) * 0.2;
+        f.delay_us = (int64_t)(World_Unit(s->w) * 2000) * SP_MS;
+        f.lose_peer = World_Unit(s->w) * 0.3;
+        f.double_peer = World_Unit(s->w) * 0.3;
+    }
+    World_SetFaults(s->w, &f);
+}
+
+/*
+ * Checks.
+ */
+
+/* Of the publishes that replace one version, one alone may win. */
+static void
+check_winner(Soak *s, const SpVersion *v)
+{
+    gpointer r = g_hash_table_lookup(s->replaces, v->id);
+
+    if (GPOINTER_TO_INT(r) != v->number - 1) {
+        fail(s, "version %d is a document that replaces version %d", v->number,
+             GPOINTER_TO_INT(r));
+    }
+}
+
+static void
+check_versions(Soak *s)
+{
+    int i;
+
+    for (i = 0; i < World_Count(s->w); i++) {
+        SpCore *c = World_Core(s->w, i);
+        const SpVersion *v;
+        if (!c || World_IsPaused(s->w, i)) {
+            continue;
+        }
+        v = SpVersions_Current(SpCore_Versions(c));
+        if (!v) {
+            continue;
+        }
+        if (s->life[i] == World_Life(s->w, i) && v->number < s->number[i]) {
+            fail(s, "%s went back from version %d to %d", World_Name(s->w, i),
+                 s->number[i], v->number);
+        }
+        s->life[i] = World_Life(s->w, i);
+        s->number[i] = v->number;
+        if (v->number >= MAX_VERSIONS) {
+            continue;
+        }
+        if (!s->ids[v->number][0]) {
+            g_strlcpy(s->ids[v->number], v->id, SP_ID_BYTES);
+            check_winner(s, v);
+        }
+        else if (strcmp(s->ids[v->number], v->id) != 0) {
+            fail(s, "two documents are version %d", v->number);
+        }
+    }
+}
+
+static void
+show_members(const SpCore *c, const char *name)
+{
+    const SpMembers *ms = SpCore_Members(c);
+    guint k;
+
+    printf("members at %s:", name);
+    for (k = 0; k < SpMembers_Count(ms); k++) {
+        const SpMember *m = SpMembers_At(ms, k);
+        printf(" %s/%" PRIx64 "/%u/%s", m->name, m->inc, m->seq,
+               SpMemberState_Name(m->state));
+    }
+    printf("\n");
+}
+
+static void
+check_agree(Soak *s)
+{
+    uint64_t digest = SpMembers_Digest(SpCore_Members(World_Core(s->w, 0)));
+    int i, first = 0, any = 0;
+
+    for (i = 0; i < World_Count(s->w); i++) {
+        SpCore *c = World_Core(s->w, i);
+        const SpVersion *v = SpVersions_Current(SpCore_Versions(c));
+        int number = v ? v->number : 0;
+        if (!any) {
+            first = number;
+            any = 1;
+        }
+        if (number != first) {
+            fail(s, "after heal %s has version %d, %s has %d",
+                 World_Name(s->w, i), number, World_Name(s->w, 0), first);
+        }
+        if (s->verbose) {
+            show_members(c, World_Name(s->w, i));
+        }
+        if (SpMembers_Digest(SpCore_Members(c)) != digest) {
+            fail(s, "after heal %s knows other members", World_Name(s->w, i));
+        }
+        if (!SpCore_Idle(c)) {
+            fail(s, "after heal %s still holds requests", World_Name(s->w, i));
+        }
+    }
+}
+
+static void
+check_ops(Soak *s)
+{
+    int i;
+
+    for (i = 0; i < s->nops; i++) {
+        const Op *op = &s->ops[i];
+        int runs = World_Runs(s->w, op->id, "/sell");
+        if (op->ended && op->outcome == SP_NOT_RUN && runs > 0) {
+            fail(s, "%s: told not run at last, but it ran", op->id);
+        }
+        if (op->whole && runs != 1) {
+            fail(s, "%s: answered whole, ran %d times", op->id, runs);
+        }
+    }
+    if (World_Doubles(s->w)) {
+        fail(s, "%d double runs", World_Doubles(s->w));
+    }
+    if (World_Foreign(s->w)) {
+        fail(s, "%d foreign answers", World_Foreign(s->w));
+    }
+}
+
+/*
+ * Schedules.
+ */
+
+static void
+build(Soak *s)
+{
+    static const char *const services[] = {"web", "sales", "lots", "sales",
+                                           "lots"};
+    int n = 3 + (int)(World_Rand(s->w) % 3), i;
+    char name[8], *text;
+
+    for (i = 0; i < n; i++) {
+        g_snprintf(name, sizeof name, "n%d", i + 1);
+        World_Node(s->w, name, services[i], zones[World_Rand(s->w) % 3],
+                   1 + (int)(World_Rand(s->w) % 2));
+    }
+    World_Work(s->w, "/sell", 20);
+    World_Child(s->w, "/sell", "POST", "/reserve");
+    World_Run(s->w, 3 * SP_SEC);
+    text = make_doc(s);
+    note_publish(s, World_Publish(s->w, 0, 0, "first", text), 0);
+    g_free(text);
+    World_Run(s->w, 5 * SP_SEC);
+}
+
+static void
+heal(Soak *s)
+{
+    WFaults none = {0};
+    int i;
+
+    World_SetFaults(s->w, &none);
+    World_Log(s->w, "up");
+    for (i = 0; i < 3; i++) {
+        if (s->cut[i]) {
+            World_Cut(s->w, zones[i], zones[(i + 1) % 3], 0);
+        }
+    }
+    for (i = 0; i < World_Count(s->w); i++) {
+        World_Pause(s->w, i, 0);
+        if (World_Core(s->w, i)) {
+            World_Instance(s->w, i, "up");
+        }
+        else {
+            World_Start(s->w, i);
+        }
+    }
+}
+
+static void
+step(Soak *s, int64_t us)
+{
+    int64_t end = World_Now(s->w) + us;
+    int i;
+
+    while (World_Now(s->w) < end && !s->why) {
+        for (i = 0; i < s->nops; i++) {
+            drive_op(&s->ops[i]);
+        }
+        World_Run(s->w, 20 * SP_MS);
+        check_versions(s);
+    }
+}
+
+static void
+start_ops(Soak *s)
+{
+    int i;
+
+    double span = World_Unit(s->w) < 0.4 ? 0.02 : 1; /* a burst, or not */
+    double from = World_Unit(s->w) * (1 - span);
+
+    s->nops = 6 + (int)(World_Rand(s->w) % (MAX_OPS - 6));
+    for (i = 0; i < s->nops; i++) {
+        Op *op = &s->ops[i];
+        op->s = s;
+        g_snprintf(op->id, sizeof op->id, "op%d", i);
+        op->next_at =
+            World_Now(s->w) + 1 +
+            (int64_t)((from + World_Unit(s->w) * span) * (double)FAULT_US);
+    }
+}
+
+/* Over all schedules: how the callers' wishes ended. */
+static struct {
+    int whole, not_run, unknown, failed;
+} ends;
+
+static void
+count_ops(const Soak *s)
+{
+    int i;
+
+    for (i = 0; i < s->nops; i++) {
+        const Op *op = &s->ops[i];
+        if (op->whole) {
+            ends.whole++;
+        }
+        else if (!op->ended || op->outcome == SP_UNKNOWN) {
+            ends.unknown++;
+        }
+        else if (op->outcome == SP_NOT_RUN) {
+            ends.not_run++;
+        }
+        else {
+            ends.failed++;
+        }
+    }
+}
+
+static char *
+run_schedule(uint64_t seed, int verbose)
+{
+    Soak *s = g_new0(Soak, 1);
+    double rate;
+    char *why;
+
+    s->seed = seed;
+    s->verbose = verbose;
+    s->w = World_New(seed, TICK_US);
+    s->replaces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    build(s);
+    start_ops(s);
+    random_faults(s);
+    rate = 0.1 + 0.5 * World_Unit(s->w);
+    int64_t end = World_Now(s->w) + FAULT_US;
+    while (World_Now(s->w) < end && !s->why) {
+        if (World_Unit(s->w) < rate) {
+            faults[World_Rand(s->w) % G_N_ELEMENTS(faults)](s);
+        }
+        step(s, STEP_US);
+    }
+    heal(s);
+    step(s, SETTLE_US);
+    check_ops(s);
+    check_agree(s);
+    why = s->why;
+    count_ops(s);
+    World_Free(s->w);
+    g_hash_table_destroy(s->replaces);
+    g_free(s);
+    return why;
+}
+
+int
+run_soak(int argc, char **argv)
+{
+    uint64_t seed = 1;
+    int n = 300, verbose = 0, bad = 0, c, i;
+    char *why;
+
+    while ((c = getopt(argc, argv, "s:n:v")) != -1) {
+        if (c == 's') {
+            seed = g_ascii_strtoull(optarg, NULL, 10);
+        }
+        else if (c == 'n') {
+            n = atoi(optarg);
+        }
+        else if (c == 'v') {
+            verbose = 1;
+        }
+        else {
+            return 2;
+        }
+    }
+    for (i = 0; i < n; i++) {
+        why = run_schedule(seed + (uint64_t)i, verbose);
+        if (why) {
+            printf("seed %" PRIu64 ": %s\n  again: sptest soak -s %" PRIu64
+                   " -n 1 -v\n",
+                   seed + (uint64_t)i, why, seed + (uint64_t)i);
+            g_free(why);
+            bad++;
+        }
+    }
+    printf("soak: %d schedules from seed %" PRIu64 ", %d failed\n", n, seed,
+           bad);
+    printf("soak: whole=%d failed=%d not_run=%d unknown=%d\n", ends.whole,
+           ends.failed, ends.not_run, ends.unknown);
+    return bad ? 1 : 0;
+}
--- a/test/sptest.c
+++ b/test/sptest.c
@@ -1,4 +1,4 @@
-/* sptest: unit tests. */
+/* sptest: unit tests, scenarios and random schedules. */
 #include <stdio.h>
 #include <string.h>
 
@@ -10,6 +10,13 @@
     if (argc == 2 && strcmp(argv[1], "unit") == 0) {
         return run_units();
     }
-    fprintf(stderr, "usage: sptest unit\n");
+    if (argc == 3 && strcmp(argv[1], "run") == 0) {
+        return run_script(argv[2]);
+    }
+    if (argc >= 2 && strcmp(argv[1], "soak") == 0) {
+        return run_soak(argc - 1, argv + 1);
+    }
+    fprintf(stderr, "usage: sptest unit | run FILE | "
+                    "soak [-s SEED] [-n SCHEDULES] [-v]\n");
     return 2;
 }
--- a/test/test.h
+++ b/test/test.h
@@ -4,5 +4,9 @@
 
 /* unit.c: CUnit; returns the exit status */
 int run_units(void);
+/* script.c: a scenario file; returns the exit status */
+int run_script(const char *file);
+/* soak.c: random schedules; returns the exit status */
+int run_soak(int argc, char **argv);
 
 #endif
