Schedules: late doubled calls, small key tables, more retries

Cause: two of ten deliberate faults were missed, because doubled calls came at once, tables were rarely full and lost answers left no retry to spend.

--- a/test/soak.c
+++ b/test/soak.c
@@ -47,7 +47,7 @@
 
 static const char doc_format[] =
     "{\"format\": 1, \"name\": \"d%d\", \"classes\": [\"critical\","
-    " \"browse\"], \"retries\": {\"per_request\": 2, \"ratio\": 0.5},"
+    " \"browse\"], \"retries\": {\"per_request\": %d, \"ratio\": 0.5},"
     " \"limits\": {\"keys\": %d, \"key_ttl_ms\": 4000},"
     " \"services\": [{\"name\": \"web\", \"slots\": 2, \"connections\": 9},"
     " {\"name\": \"sales\", \"slots\": 2, \"connections\": 9,"
@@ -65,7 +65,8 @@
 make_doc(Soak *s)
 {
     return g_strdup_printf(doc_format, (int)(World_Rand(s->w) % 1000),
-                           4 + (int)(World_Rand(s->w) % 30));
+                           2 + (int)(World_Rand(s->w) % 7),
+                           1 + (int)(World_Rand(s->w) % 10));
 }
 
 static void fail(Soak *s, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
--- a/test/world.c
+++ b/test/world.c
@@ -3,6 +3,8 @@
 #include "test/world.h"
 
 #define LATENCY_US (500)
+/* A doubled call comes so late at most. */
+#define DOUBLE_US (300 * SP_MS)
 #define ANNOUNCE_US (1 * SP_SEC)
 #define MAX_PLANS 32
 
@@ -626,7 +628,9 @@
     if (n->dup_call[to] || chance(w, w->f.double_call)) {
         n->dup_call[to] = 0;
         c = make_down(w, up, s, to);
-        post_call(w, c, s, latency(w) + LATENCY_US);
+        post_call(w, c, s,
+                  latency(w) + LATENCY_US +
+                      (int64_t)(World_Unit(w) * (double)DOUBLE_US));
         drop_call_ref(c);
     }
 }
