Gate: let in a share of the measured capacity, counted in arrivals

Cause: the level swung between far too much and far too little. It moved in ranks by what the queue had been, and the entries heard of it late: a view of 0.8 s, and 2 % too much for ever because whole numbers were cut off. Change, one at a time and measured each time: views weigh an answer by its age; a level is rounded; the gate steers the rate that it lets in, as a share of the capacity (slots over run time, with the age of what runs now, so that a slow-down counts before the first slow answer); arrivals are counted by class and slice, so that classes that never come are no way to go; a queue longer than 0.3 of a request's time refuses at once and so tells the entries; requests above the level wait in vain no longer than 0.4 of their time; a route's level rises by itself only while none of its requests is out; an inner hop gives up what is 32 slices above the level that it last heard. Ruled out: cutting to the done rate each tick (swings of 3 s), steps in ranks (stuck in classes that do not come here), a rise by free slots (run ahead of the arrivals by one run time), probing the limit by 0.8 every 4 s (a loss of 7 %).

--- a/core/call.c
+++ b/core/call.c
@@ -110,6 +110,22 @@
            (r->call.source == SP_FROM_INSTANCE && !r->parent);
 }
 
+/* The entry learns what its route admits, and whether news is to come. */
+static void
+note_entry(SpCore *c, int64_t now, const SpReq *r)
+{
+    SpLevelView *v;
+
+    if (!is_entry(r) || !r->route[0]) {
+        return;
+    }
+    v = SpCore_View(c->route_views, r->route);
+    SpView_Note(v, now, r->level);
+    if (r->admitted) {
+        v->out--;
+    }
+}
+
 static void
 forget(SpCore *c, SpReq *r)
 {
@@ -133,9 +149,7 @@
     if (a.level >= 0 && (r->level < 0 || a.level < r->level)) {
         r->level = a.level;
     }
-    if (is_entry(r) && r->route[0]) {
-        SpView_Note(SpCore_View(c->route_views, r->route), now, r->level);
-    }
+    note_entry(c, now, r);
     tell_parent(c, r, &a);
     a.level = r->level;
     a.budget = r->budget;
@@ -159,6 +173,10 @@
 
     SpAnswer_Init(&a, k);
     a.level = r->level;
+    if (strcmp(r->service, c->o.service) == 0 &&
+        r->call.source != SP_FROM_INSTANCE) {
+        a.level = SpGate_Level(c->gate);
+    }
     a.below = r->below;
     if (k == SP_SHED || k == SP_QUEUE_FULL || k == SP_THROTTLED) {
         SpCore_Event(c, now, "refuse",
@@ -447,19 +465,36 @@
     return PASS;
 }
 
+/* Work admitted at its entry is given up here only if it is hopeless. */
+static Verdict
+admit_inner(SpCore *c, int64_t now, SpReq *r)
+{
+    double level;
+
+    if (r->call.source != SP_FROM_INSTANCE) {
+        return PASS;
+    }
+    level = SpCore_View(c->serv_views, r->service)->level;
+    if (r->optional) {
+        return SpReq_Rank(r) >= level ? refuse(c, now, r, SP_OPTIONAL) : PASS;
+    }
+    if (r->class == 0 || SpReq_Rank(r) <= level + SP_MARGIN) {
+        return PASS;
+    }
+    r->level = (int)level;
+    return refuse(c, now, r, SP_SHED);
+}
+
 static Verdict
 f_admit(SpCore *c, int64_t now, SpReq *r)
 {
-    int top = c->doc->nclasses * SP_SLICES, level = top;
+    int top = c->doc->nclasses * SP_SLICES, level;
 
     if (c->doc->policy != SP_POLICY_FULL) {
         return PASS;
     }
     if (!is_entry(r)) {
-        if (r->optional) {
-            level = (int)SpCore_View(c->serv_views, r->service)->level;
-        }
-        return SpReq_Rank(r) >= level ? refuse(c, now, r, SP_OPTIONAL) : PASS;
+        return admit_inner(c, now, r);
     }
     level = SpCore_RouteLevel(c, r->route);
     if (strcmp(r->service, c->o.service) == 0) {
@@ -469,6 +504,8 @@
         (r->call.attempt > 0 && r->class > 0 && level < top)) {
         return refuse(c, now, r, SP_SHED);
     }
+    r->admitted = 1;
+    SpCore_View(c->route_views, r->route)->out++;
     return PASS;
 }
 
--- a/core/gate.c
+++ b/core/gate.c
@@ -2,21 +2,48 @@
 
 #include "core/gate.h"
 
-#define MAX_RANKS (SP_MAX_CLASSES * SP_SLICES)
 #define NLISTS (SP_MAX_CLASSES * 2)
+#define NO_QUEUE_LIMIT 100000
 /* Time constants of the moving averages. */
 #define RATE_TAU_US (400 * SP_MS)
-#define HIST_TAU_US (400 * SP_MS)
-/* The queue's excess is to be worked off in this time. */
-#define DRAIN_US (400 * SP_MS)
-/* A level that is not held down rises by this factor each tick. */
-#define LEVEL_RISE 1.12
+#define RUNNING_TAU_US (150 * SP_MS)
+#define DENSITY_TAU_US (1 * SP_SEC)
+#define ARRIVE_TAU_US (250 * SP_MS)
+/* With fewer slices admitted, the density of a class is not measured. */
+#define COVERED_LEAST 8.0
+/* A queue this many ticks old counts as one. */
+#define QUEUE_TICKS 3
+/* The queue is held at this share of the run time: it keeps slots busy. */
+#define WAIT_SHARE 0.5
+/* A queue longer than that is to be worked off in this time. */
+#define DRAIN_US (1 * SP_SEC)
+#define DRAIN_SHARE 0.35
+/* Without a queue, this share of the capacity is aimed at. */
+#define BUSY_SHARE 0.97
+/* The share of the capacity that is let in moves a tick by this part of the
+   arrivals' error, within these bounds. */
+#define GAIN 0.025
+#define SHARE_LEAST 0.5
+#define SHARE_MOST 1.3
+/* In a steady state runs are on average younger than this share of the run
+   time; older ones tell of a slower instance before they end. */
+#define AGE_SHARE 0.75
+/* Below this share of the slots in use, there is room for sure. */
+#define FREE_SHARE 0.7
+/* Weight of one run in the smoothed run time. */
+#define RUN_WEIGHT 0.02
+
+/* A request is not queued if it would wait more than this share of its time;
+   the refusal tells the entries at once. */
+#define QUEUE_SHARE 0.3
+/* A request that is above the level may wait this share of its time. */
+#define VAIN_SHARE 0.4
 /* Limit probes: how far down, how long, what loss is accepted. */
-#define PROBE_DOWN 0.8
-#define PROBE_KEEP 0.97
-#define PROBE_RUNS 150
-#define PROBE_GAP_US (4 * SP_SEC)
-#define PROBE_GAP_MAX_US (64 * SP_SEC)
+#define PROBE_DOWN 0.9
+#define PROBE_KEEP 0.98
+#define PROBE_RUNS 200
+#define PROBE_GAP_US (15 * SP_SEC)
+#define PROBE_GAP_MAX_US (120 * SP_SEC)
 /* A wait for a slot beyond this calls for a reserve. */
 #define RESERVE_WAIT_US (20 * SP_MS)
 
@@ -50,11 +77,17 @@
     int waits;
     int full_ticks; /* consecutive ticks with a queue */
 
-    double done_rate;          /* runs a second, smoothed */
-    double run_us;             /* smoothed */
-    double hist[MAX_RANKS];    /* arrivals a second by rank, smoothed */
-    double arrived[MAX_RANKS]; /* since the last tick */
-    double level;
+    double done_rate;    /* runs a second, smoothed */
+    double running_mean; /* smoothed */
+    double start_sum;    /* of the times at which those running started */
+    double run_us;       /* smoothed */
+    double arrived[SP_MAX_CLASSES];    /* since the last tick */
+    double class_rate[SP_MAX_CLASSES]; /* arrivals a second, smoothed */
+    double covered[SP_MAX_CLASSES];    /* slices admitted, smoothed */
+    double density[SP_MAX_CLASSES];    /* arrivals a second in one slice */
+    double share;      /* of the capacity that is to be let in */
+    double level;      /* the rank that comes to this */
+    double rate;       /* arrivals a second, smoothed */
     double first_peak; /* runs of class 0 at a time, decaying */
 
     ProbeState probe;
@@ -81,6 +114,7 @@
     SpGate_Configure(g, o);
     g->limit = o->slots;
     g->level = max_level(g);
+    g->share = 1;
     return g;
 }
 
@@ -152,9 +186,10 @@
 }
 
 static void
-start(SpGate *g, int rank)
+start(SpGate *g, int64_t now, int rank)
 {
     g->running++;
+    g->start_sum += (double)now;
     if (rank < SP_SLICES) {
         g->running_first++;
         g->first_peak = MAX(g->first_peak, g->running_first);
@@ -239,29 +274,65 @@
     return 0;
 }
 
+/* Requests a second that the slots can answer. */
+static double
+capacity(const SpGate *g, int64_t now)
+{
+    double age = 0, run;
+
+    if (g->running > 0) {
+        age = (double)now - g->start_sum / g->running;
+    }
+    run = MAX(g->run_us, age / AGE_SHARE);
+    if (run <= 0) {
+        return 1e9;
+    }
+    if (g->queued == 0 && g->running_mean < FREE_SHARE * limit_now(g)) {
+        /* with slots free, what those in use get done tells it sooner */
+        return limit_now(g) *
+               MAX(SP_SEC / run, g->rate / MAX(g->running_mean, 1));
+    }
+    return limit_now(g) * SP_SEC / run;
+}
+
+/* Is the queue too long for this request, short of pushing others out? */
+static int
+is_full(const SpGate *g, int64_t now, const SpGateAsk *ask)
+{
+    double wait = g->queued / capacity(g, now) * SP_SEC;
+
+    if (g->o.policy == SP_POLICY_NONE) {
+        return g->queued >= NO_QUEUE_LIMIT;
+    }
+    if (g->o.policy == SP_POLICY_FULL && ask->rank >= SP_SLICES &&
+        wait > QUEUE_SHARE * (double)(ask->deadline - now)) {
+        return 1;
+    }
+    return g->queued >= g->o.queue;
+}
+
 SpGateVerdict
 SpGate_Arrive(SpGate *g, int64_t now, const SpGateAsk *ask, SpHandle *entry,
               SpHandle *evicted)
 {
     int list = list_of(ask->rank, ask->inner);
-    int cap = g->o.policy == SP_POLICY_NONE ? 100000 : g->o.queue;
     SpHandle v;
     Entry *e;
 
     *entry = 0;
     *evicted = 0;
-    g->arrived[ask->rank]++;
+    g->arrived[ask->rank / SP_SLICES]++;
     if (g->queued == 0 && has_room(g, ask->rank)) {
-        start(g, ask->rank);
+        start(g, now, ask->rank);
         g->waits++;
         return SP_GATE_RUN;
     }
     if (has_room(g, ask->rank) && ask->rank < SP_SLICES &&
         g->lists[0].count + g->lists[1].count == 0) {
-        start(g, ask->rank);
+        start(g, now, ask->rank);
         return SP_GATE_RUN;
     }
-    if (g->queued >= cap) {
+    if (is_full(g, now, ask)) {
         v = g->o.policy == SP_POLICY_FULL ? victim(g, list) : 0;
         if (!v) {
             return SP_GATE_FULL;
@@ -282,8 +353,8 @@
 void
 SpGate_Done(SpGate *g, int64_t now, int rank, int64_t run_us, int ok, int shed)
 {
-    (void)now;
     g->running--;
+    g->start_sum -= (double)(now - run_us);
     if (rank < SP_SLICES) {
         g->running_first--;
     }
@@ -294,7 +365,7 @@
     g->done++;
     g->probe_done++;
     if (ok) {
-        g->run_us += ((double)run_us - g->run_us) * 0.05;
+        g->run_us += ((double)run_us - g->run_us) * RUN_WEIGHT;
     }
 }
 
@@ -317,7 +388,7 @@
             return 0;
         }
         if (!*late) {
-            start(g, e->rank);
+            start(g, now, e->rank);
             g->wait_sum += now - e->since;
             g->waits++;
         }
@@ -326,6 +397,31 @@
     return 0;
 }
 
+static double
+target_now(const SpGate *g)
+{
+    return MAX((double)g->o.target_us, g->run_us * WAIT_SHARE);
+}
+
+SpHandle
+SpGate_Hopeless(SpGate *g, int64_t now)
+{
+    int i;
+
+    if (g->o.policy != SP_POLICY_FULL) {
+        return 0;
+    }
+    for (i = NLISTS - 1; i >= 2; i--) {
+        SpHandle h = g->lists[i].tail;
+        const Entry *e = SpTable_Get(g->entries, h);
+        if (e && e->rank > g->level + SP_MARGIN &&
+            now - e->since > VAIN_SHARE * (double)(e->deadline - e->since)) {
+            return unlink_entry(g, h);
+        }
+    }
+    return 0;
+}
+
 void
 SpGate_Remove(SpGate *g, SpHandle entry)
 {
@@ -364,41 +460,76 @@
     return MAX(mean, drain);
 }
 
-/* The level at which the arrivals below it come to `rate` a second. */
 static double
-level_for(const SpGate *g, double rate)
+slices_below(double level, int class)
+{
+    return CLAMP(level - class * SP_SLICES, 0, SP_SLICES);
+}
+
+/* Arrivals a second that the level lets through, at the known densities. */
+static double
+mass(const SpGate *g, double level)
 {
     double sum = 0;
-    int r, top = (int)max_level(g);
+    int c;
+
+    for (c = 0; c < g->o.nclasses; c++) {
+        sum += g->density[c] * slices_below(level, c);
+    }
+    return sum;
+}
+
+/* The level that lets `rate` arrivals a second through. */
+static double
+level_for(const SpGate *g, double rate)
+{
+    double of_class;
+    int c;
 
-    for (r = 0; r < top; r++) {
-        if (sum + g->hist[r] > rate) {
-            return r + (rate - sum) / g->hist[r];
+    for (c = 0; c < g->o.nclasses; c++) {
+        of_class = g->density[c] * SP_SLICES;
+        if (of_class > rate) {
+            return c * SP_SLICES + rate / g->density[c];
         }
-        sum += g->hist[r];
+        rate -= of_class;
+    }
+    return max_level(g);
+}
+
+/* Share of the arrivals that should come, in excess of those that do. */
+static double
+error_now(const SpGate *g, double most, double wait, double target)
+{
+    double want = most;
+
+    if (g->queued == 0) {
+        want *= BUSY_SHARE;
+    }
+    else {
+        want *= 1 - CLAMP((wait - target) / DRAIN_US, -0.1, DRAIN_SHARE);
     }
-    return top;
+    return CLAMP((want - g->rate) / want, -1, 1);
 }
 
+/*
+ * What is let in is a share of the capacity, so that it follows at once when
+ * the instance becomes slower or faster. It is counted in arrivals, not in
+ * ranks: a class that never comes here is no way to go for the level.
+ */
 static void
 adjust_level(SpGate *g, int64_t now)
 {
-    double target = (double)g->o.target_us;
-    double wait = wait_now(g, now);
-    double want, level;
+    double target = target_now(g), wait = wait_now(g, now);
+    double most = capacity(g, now), top = max_level(g);
+    double e = error_now(g, most, wait, target);
 
-    if (g->full_ticks >= 2 && wait > target) {
-        want = g->done_rate * (1 - MIN(0.7, (wait - target) / DRAIN_US));
-        level = level_for(g, want);
-        g->level = MIN(g->level, MAX(level, g->level * 0.5));
-    }
-    else if (wait < target / 2) {
-        g->level = SP_SLICES + (g->level - SP_SLICES) * LEVEL_RISE + 1;
+    if (e > 0 || (g->full_ticks >= QUEUE_TICKS && wait > target)) {
+        g->share = CLAMP(g->share * (1 + GAIN * e), SHARE_LEAST, SHARE_MOST);
     }
-    else {
-        g->level += 0.5;
+    g->level = MAX(SP_SLICES, level_for(g, g->share * most));
+    if (g->queued == 0 && mass(g, top) < BUSY_SHARE * most) {
+        g->level = top;
     }
-    g->level = CLAMP(g->level, SP_SLICES, max_level(g));
 }
 
 static void
@@ -466,17 +597,35 @@
     probe_end(g, now, rate >= g->probe_rate * PROBE_KEEP);
 }
 
+/* Arrivals by class, and how many slices of it they came from. */
+static double
+smooth_classes(SpGate *g, double dt)
+{
+    double a = MIN(1, dt / DENSITY_TAU_US), sum = 0;
+    int c;
+
+    for (c = 0; c < g->o.nclasses; c++) {
+        sum += g->arrived[c];
+        g->class_rate[c] +=
+            (g->arrived[c] * SP_SEC / dt - g->class_rate[c]) * a;
+        g->covered[c] += (slices_below(g->level, c) - g->covered[c]) * a;
+        g->arrived[c] = 0;
+        if (g->covered[c] > COVERED_LEAST) {
+            g->density[c] = g->class_rate[c] / g->covered[c];
+        }
+    }
+    return sum;
+}
+
 static void
 smooth(SpGate *g, double dt)
 {
-    double a = MIN(1, dt / RATE_TAU_US), b = MIN(1, dt / HIST_TAU_US);
-    int r, top = (int)max_level(g);
+    double a = MIN(1, dt / RATE_TAU_US), sum = smooth_classes(g, dt);
 
     g->done_rate += (g->done * SP_SEC / dt - g->done_rate) * a;
-    for (r = 0; r < top; r++) {
-        g->hist[r] += (g->arrived[r] * SP_SEC / dt - g->hist[r]) * b;
-        g->arrived[r] = 0;
-    }
+    g->running_mean +=
+        (g->running - g->running_mean) * MIN(1, dt / RUNNING_TAU_US);
+    g->rate += (sum * SP_SEC / dt - g->rate) * MIN(1, dt / ARRIVE_TAU_US);
     g->first_peak *= 1 - MIN(1, dt / (10 * SP_SEC));
 }
 
@@ -502,7 +651,7 @@
 int
 SpGate_Level(const SpGate *g)
 {
-    return (int)g->level;
+    return (int)(g->level + 0.5);
 }
 
 int
--- a/core/gate.h
+++ b/core/gate.h
@@ -13,6 +13,9 @@
 #include "conf/conf.h"
 
 #define SP_SLICES 128
+/* A request that was admitted at its entry is refused deeper down only if its
+   rank is this far above the level: the level wavers. */
+#define SP_MARGIN 32
 
 typedef struct SpGateOpts {
     SpPolicy policy;
@@ -53,6 +56,11 @@
  * *late is 1 if it can no longer be answered in time and must not run.
  */
 SpHandle SpGate_Next(SpGate *g, int64_t now, int *late);
+/*
+ * SpGate_Hopeless takes a request out of the queue that waits in vain, since
+ * more important ones take all slots; 0 if there is none.
+ */
+SpHandle SpGate_Hopeless(SpGate *g, int64_t now);
 void SpGate_Remove(SpGate *g, SpHandle entry);
 /* SpGate_Tick adjusts limit and level; call every SP_GATE_TICK_US. */
 #define SP_GATE_TICK_US (50 * SP_MS)
--- a/core/run.c
+++ b/core/run.c
@@ -64,6 +64,13 @@
     SpReq *r;
     int late;
 
+    while ((h = SpGate_Hopeless(c->gate, now)) != 0) {
+        r = SpCore_Req(c, h);
+        if (r) {
+            r->entry = 0;
+            SpReq_Refuse(c, now, r, SP_SHED);
+        }
+    }
     while ((h = SpGate_Next(c->gate, now, &late)) != 0) {
         r = SpCore_Req(c, h);
         if (!r) {
--- a/core/state.h
+++ b/core/state.h
@@ -20,6 +20,7 @@
 typedef struct SpLevelView {
     double level; /* rank below which requests are admitted */
     int64_t at;   /* of the last answer that carried one */
+    int out;      /* admitted requests that are not answered yet */
 } SpLevelView;
 
 typedef struct SpReq {
@@ -46,6 +47,7 @@
     SpBoundKey key;
     char key_text[SP_KEY_TEXT];
     uint64_t digest;
+    int admitted;    /* counted in its route's view */
     int detached;    /* nobody waits for the answer any more */
     uint32_t number; /* of the run or send in flight */
     int sends;
--- a/core/views.c
+++ b/core/views.c
@@ -1,10 +1,13 @@
 /* What entries know of the levels that the services behind them admit. */
-#include <string.h>
+#include <math.h>
 
 #include "core/state.h"
 
-#define NOTE_WEIGHT 0.1
-/* Without answers for this long a level rises by itself. */
+/* Time constant of a view, and the least weight of one answer. */
+#define NOTE_TAU_US (200.0 * SP_MS)
+#define NOTE_LEAST 0.05
+/* With none out and no answer for this long a level rises by itself, so that
+   some request can learn what holds now. */
 #define SILENT_US (300 * SP_MS)
 #define SILENT_STEP 0.02
 #define TICK_US (50 * SP_MS)
@@ -26,13 +29,16 @@
 void
 SpView_Note(SpLevelView *v, int64_t now, int level)
 {
+    double weight;
+
     if (level < 0) {
         return;
     }
     if (v->level >= FULL_LEVEL) {
         v->level = level;
     }
-    v->level += (level - v->level) * NOTE_WEIGHT;
+    weight = 1 - exp(-(double)(now - v->at) / NOTE_TAU_US);
+    v->level += (level - v->level) * MAX(weight, NOTE_LEAST);
     v->at = now;
 }
 
@@ -45,7 +51,7 @@
     g_hash_table_iter_init(&it, views);
     while (g_hash_table_iter_next(&it, &k, &p)) {
         SpLevelView *v = p;
-        if (now - v->at > SILENT_US && v->level < top) {
+        if (v->out == 0 && now - v->at > SILENT_US && v->level < top) {
             v->level += SILENT_STEP * top;
         }
     }
@@ -70,5 +76,6 @@
     const SpLevelView *v = g_hash_table_lookup(c->route_views, route);
     int top = (c->doc ? c->doc->nclasses : 1) * SP_SLICES;
 
-    return v && v->level < top ? (int)v->level : top;
+    /* the mean of whole levels comes near the top, but not quite to it */
+    return v && v->level < top - 1 ? (int)(v->level + 0.5) : top;
 }
--- a/standin/spload.c
+++ b/standin/spload.c
@@ -49,6 +49,7 @@
     char name[SP_NAME_BYTES];
     int from_ms, to_ms;
     uint64_t sent[MAX_MIX], whole[MAX_MIX];
+    double busy_us, wasted_us; /* slot time of its requests */
 } Phase;
 
 typedef struct Event {
@@ -76,6 +77,7 @@
     char control[SP_ADDR_BYTES];
     int retries, wait_ms, obey, timeout_ms, window_ms, trigger_end_ms, seed;
     Window windows[MAX_WINDOWS];
+    GHashTable *phase;   /* id -> number of its phase, from 1 */
     GHashTable *failed;  /* ids of calls that did not end whole */
     GHashTable *kinds;   /* kind -> count */
     GHashTable *ran;     /* "id path" -> runs, as the stand-ins counted */
@@ -288,6 +290,8 @@
     for (i = 0; i < ld.nphases; i++) {
         Phase *p = &ld.phases[i];
         if (ms >= p->from_ms && ms < p->to_ms) {
+            g_hash_table_insert(ld.phase, g_strdup(s->id),
+                                GINT_TO_POINTER(i + 1));
             p->sent[k]++;
             p->whole[k] += (uint64_t)whole;
         }
@@ -458,6 +462,9 @@
                    p->whole[k], share(p->whole[k], p->sent[k]),
                    (double)p->whole[k] / secs);
         }
+        printf("phase_work=%s busy_ms=%.0f wasted=%.4f\n", p->name,
+               p->busy_us / 1000,
+               p->busy_us > 0 ? p->wasted_us / p->busy_us : 0);
     }
 }
 
@@ -551,6 +558,20 @@
     }
 }
 
+static void
+count_work(const char *id, double us)
+{
+    int i = GPOINTER_TO_INT(g_hash_table_lookup(ld.phase, id));
+    int failed = g_hash_table_contains(ld.failed, id);
+
+    ld.busy_us += us;
+    ld.wasted_us += failed ? us : 0;
+    if (i) {
+        ld.phases[i - 1].busy_us += us;
+        ld.phases[i - 1].wasted_us += failed ? us : 0;
+    }
+}
+
 static void
 on_work(void *data, const SpFetched *f)
 {
@@ -565,10 +586,7 @@
             continue;
         }
         *sp = '\0';
-        ld.busy_us += us;
-        if (g_hash_table_contains(ld.failed, *l)) {
-            ld.wasted_us += us;
-        }
+        count_work(*l, us);
     }
     g_strfreev(lines);
     maybe_stop();
@@ -721,6 +739,7 @@
     signal(SIGPIPE, SIG_IGN);
     ld.failed = g_hash_table_new(g_str_hash, g_str_equal);
     ld.not_run = g_hash_table_new(g_str_hash, g_str_equal);
+    ld.phase = g_hash_table_new(g_str_hash, g_str_equal);
     ld.kinds = g_hash_table_new(g_str_hash, g_str_equal);
     ld.rand = (uint64_t)ld.seed;
     ld.loop = uv_default_loop();
