--- a/core/call.c
+++ b/core/call.c
@@ -383,6 +383,26 @@
     return PASS;
 }
 
+/* Spans carry a mark, so that one that has ended here is told from one that
+   an instance began by itself. */
+static uint64_t
+mark_span(const SpCore *c, uint64_t high)
+{
+    return high << 16 | (SpHash(&high, sizeof high, c->span_seed) & 0xffff);
+}
+
+static uint64_t
+make_span(SpCore *c)
+{
+    return mark_span(c, SpRand(&c->rand) >> 16 | 1);
+}
+
+static int
+is_own_span(const SpCore *c, uint64_t span)
+{
+    return mark_span(c, span >> 16) == span;
+}
+
 static Verdict
 f_deadline(SpCore *c, int64_t now, SpReq *r)
 {
@@ -396,7 +416,7 @@
         r->deadline =
             MIN(r->deadline, now + r->call.timeout_us - SpCore_Stall(c, now));
     }
-    if (r->call.source == SP_FROM_INSTANCE && r->call.parent) {
+    if (r->call.source == SP_FROM_INSTANCE && is_own_span(c, r->call.parent)) {
         SpHandle *h = g_hash_table_lookup(c->by_span, &r->call.parent);
         p = h ? SpCore_Req(c, *h) : NULL;
         if (!p) {
@@ -544,7 +564,7 @@
     r->arrived = now;
     r->deadline = now + SP_SEC;
     r->level = -1;
-    r->span = SpRand(&c->rand) | 1;
+    r->span = make_span(c);
     r->given = call->key && SpBoundKey_Parse(call->key, &r->key);
     if (call->source == SP_FROM_NODE && call->from && call->from[0]) {
         int64_t *at = g_hash_table_lookup(c->senders, call->from);
@@ -573,7 +593,7 @@
     }
     c->n.cancels++;
     r->detached = 1;
-    if (r->state == SP_REQ_RUNNING && r->keyed) {
+    if (r->state == SP_REQ_RUNNING && SpReq_WorksOn(c, r)) {
         return; /* its outcome is still wanted */
     }
     SpAnswer_Init(&a, SP_CANCELLED);
--- a/core/core.c
+++ b/core/core.c
@@ -596,7 +596,8 @@
     SpAnswer a;
 
     SpAnswer_Init(&a, r->state == SP_REQ_QUEUED ? SP_LATE : SP_TIMEOUT);
-    if (r->state == SP_REQ_RUNNING && r->keyed) {
+    if ((r->state == SP_REQ_RUNNING && SpReq_WorksOn(c, r)) ||
+        (r->state == SP_REQ_SENT && SpReq_WorksOn(c, r) && !r->keyed)) {
         /* its outcome is still wanted; nobody waits for it */
         if (!r->detached) {
             SpAnswer_Sign(c, now, &a);
@@ -704,6 +705,7 @@
 
     c->o = *o;
     c->rand = o->seed;
+    c->span_seed = SpRand(&c->rand);
     c->told_at = now;
     c->ticked = now;
     c->inst_at = -1;
--- a/core/run.c
+++ b/core/run.c
@@ -6,8 +6,17 @@
 /* An entry hands a call to another instance below this share of its load. */
 #define HAND_SHARE 0.8
 
+/* Without any policy a deadline ends the wait for an answer, not the work. */
+#define NO_POLICY_US (60 * SP_SEC)
+
+int
+SpReq_WorksOn(const SpCore *c, const SpReq *r)
+{
+    return r->keyed || (c->doc && c->doc->policy == SP_POLICY_NONE);
+}
+
 void
-SpReq_FillSend(SpReq *r, int64_t now, SpSend *s)
+SpReq_FillSend(SpCore *c, SpReq *r, int64_t now, SpSend *s)
 {
     memset(s, 0, sizeof *s);
     r->number++;
@@ -21,6 +30,9 @@
     s->trace[1] = r->call.trace[1];
     s->span = r->span;
     s->timeout_us = r->deadline - now;
+    if (c->doc && c->doc->policy == SP_POLICY_NONE) {
+        s->timeout_us = NO_POLICY_US;
+    }
     s->class = r->class;
     s->slice = r->slice;
     s->body = r->call.body;
@@ -36,7 +48,7 @@
     r->state = SP_REQ_RUNNING;
     r->entry = 0;
     g_hash_table_insert(c->by_span, &r->span, &r->self);
-    SpReq_FillSend(r, now, &s);
+    SpReq_FillSend(c, r, now, &s);
     c->n.runs++;
     c->o.ops->run(c->o.ctx, &s);
 }
--- a/core/send.c
+++ b/core/send.c
@@ -125,7 +125,7 @@
             MIN(MAX_TOKENS, c->retry_tokens + c->doc->retries.ratio);
     }
     note_tried(r, t->name);
-    SpReq_FillSend(r, now, &s);
+    SpReq_FillSend(c, r, now, &s);
     r->state = SP_REQ_SENT;
     r->sends++;
     /* one retry stays here, in case no answer tells what became of the rest;
--- a/core/state.h
+++ b/core/state.h
@@ -75,7 +75,7 @@
     GHashTable *serv_views;  /* service name -> SpLevelView */
     GHashTable *senders;     /* node name -> int64 of its last call */
     const SpDoc *doc;
-    uint64_t rand;
+    uint64_t rand, span_seed;
     int64_t ticked;
     int64_t stall;   /* this process stood still so long before this tick */
     int64_t told_at; /* time of the event that is being handled */
@@ -107,7 +107,9 @@
 void SpReq_Lose(SpCore *c, SpReq *r);
 /* run.c */
 void SpReq_Run(SpCore *c, int64_t now, SpReq *r);
-void SpReq_FillSend(SpReq *r, int64_t now, SpSend *s);
+/* SpReq_WorksOn: its run goes on though nobody waits for the answer. */
+int SpReq_WorksOn(const SpCore *c, const SpReq *r);
+void SpReq_FillSend(SpCore *c, SpReq *r, int64_t now, SpSend *s);
 void SpReq_Place(SpCore *c, int64_t now, SpReq *r);
 void SpCore_Pump(SpCore *c, int64_t now);
 void SpReq_CancelRun(SpCore *c, int64_t now, SpReq *r);
