Members: ping each in turn, and one of the own zone

Cause: after a cut of zones a node of a small mesh still took the other side for up 15 s later: three pings of four stayed near, the fourth was random. Change: every period the next of all members in turn and a random near one. Figures: members.sp, members that node a takes for up 15 s after the cut: before 1 of 2 wrong, after 0. Conclusion: no member goes unseen for longer than a round.

--- a/core/members.c
+++ b/core/members.c
@@ -11,8 +11,6 @@
 #define FORGET_PERIODS 300.0
 #define SYNC_PERIODS 10.0
 #define REJOIN_PERIODS 5.0
-/* Share of pings that stay within the zone. */
-#define NEAR_SHARE 0.75
 
 typedef enum { PING = 1, ACK, RELAY, SYNC, TABLE } MessageType;
 
@@ -558,22 +556,36 @@
     }
 }
 
+/* Each member in turn, so that none goes unseen for long; NULL if alone. */
+static SpMember *
+next_member(SpMembers *ms)
+{
+    guint k, n = ms->list->len;
+
+    for (k = 0; k < n; k++) {
+        SpMember *m = g_ptr_array_index(ms->list, ms->turn++ % n);
+        if (m != ms->self && m->state != SP_DOWN) {
+            return m;
+        }
+    }
+    return NULL;
+}
+
 void
 SpMembers_Tick(SpMembers *ms, int64_t now)
 {
-    SpMember *m;
-    int near;
+    SpMember *m, *near;
 
     check_pending(ms, now);
     if (now >= ms->next_ping) {
-        near = SpRand_Unit(&ms->rand) < NEAR_SHARE;
-        m = random_member(ms, 0, near);
-        if (!m) {
-            m = random_member(ms, 0, 0);
-        }
+        m = next_member(ms);
+        near = random_member(ms, 0, 1);
         if (m) {
             ping(ms, now, m);
         }
+        if (near && near != m) {
+            ping(ms, now, near);
+        }
         check_states(ms, now);
         ms->next_ping = now + ms->o.period_us;
     }
--- a/core/members.h
+++ b/core/members.h
@@ -1,11 +1,12 @@
 /*
  * members: which nodes exist, learnt by gossip.
  *
- * Each node pings one other a period and passes on recent changes with every
- * message. A node that does not answer is asked for through others, then
- * suspected, then down. An entry is ordered by incarnation, then sequence
- * number, then state; only its owner raises the sequence number. Peers with
- * different digests exchange their whole tables.
+ * Each node pings, every period, the next of all members in turn and a random
+ * one of its zone, and passes on recent changes with every message. A node
+ * that does not answer is asked for through others, then suspected, then down.
+ * An entry is ordered by incarnation, then sequence number, then state; only
+ * its owner raises the sequence number. Peers with different digests exchange
+ * their whole tables.
  */
 #ifndef SP_MEMBERS_H
 #define SP_MEMBERS_H
