Console of forms, refusals explained, faults on real processes

Cause: an operator had only the command line, and a refused request left a log line each, 40000 in one overload, that pushed all else out of the ring. A node now binds keys to itself too: alone in its service it answered no-target.

--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,10 @@
 demo: all
 	@demo/demo.sh $(OUT)
 
+# the same mesh under kills, stops, cuts, outages and replacements
+demo-faults: all
+	@demo/faults.sh $(OUT)
+
 bench: all
 	@demo/bench.sh $(OUT)
 
@@ -87,4 +91,4 @@
 -include $(LIBOBJ:.o=.d) $(WEBOBJ:.o=.d) $(NODEOBJ:.o=.d) \
 	$(wildcard $(OUT)/*/*.d)
 
-.PHONY: all test soak mutants demo bench format lint clean
+.PHONY: all test soak mutants demo demo-faults bench format lint clean
--- a/core/call.c
+++ b/core/call.c
@@ -103,6 +103,31 @@
     }
 }
 
+/* Keep what a review needs to explain the refusal. */
+static void
+note_refusal(SpCore *c, int64_t now, const SpReq *r, const SpAnswer *a)
+{
+    const SpVersion *v = SpVersions_Current(c->versions);
+    SpRefusal f = {SpLine_Now(c->line, SpCore_WallMs(c, now)),
+                   {r->call.trace[0], r->call.trace[1]},
+                   a->kind,
+                   a->outcome,
+                   r->class,
+                   r->slice,
+                   a->level,
+                   v ? v->number : 0,
+                   ""};
+
+    if (a->kind == SP_OK) {
+        return;
+    }
+    if (f.level < 0) {
+        f.level = SpCore_RouteLevel(c, r->route);
+    }
+    g_strlcpy(f.route, r->route, sizeof f.route);
+    SpRefusals_Add(c->refusals, &f);
+}
+
 static int
 is_entry(const SpReq *r)
 {
@@ -158,6 +183,7 @@
     }
     SpAnswer_Sign(c, now, &a);
     count_end(c, r, &a);
+    note_refusal(c, now, r, &a);
     replay = a;
     if (!r->detached) {
         c->o.ops->answer(c->o.ctx, r->call.user, &a);
@@ -178,14 +204,6 @@
         a.level = SpGate_Level(c->gate);
     }
     a.below = r->below;
-    if (k == SP_SHED || k == SP_QUEUE_FULL || k == SP_THROTTLED) {
-        SpCore_Event(c, now, "refuse",
-                     "kind=%s route=%s class=%d slice=%d level=%d "
-                     "trace=%016" PRIx64 "%016" PRIx64,
-                     SpKind_Info(k)->name, r->route, r->class, r->slice,
-                     SpCore_RouteLevel(c, r->route), r->call.trace[0],
-                     r->call.trace[1]);
-    }
     SpReq_End(c, now, r, &a);
 }
 
--- a/core/core.c
+++ b/core/core.c
@@ -6,6 +6,8 @@
 
 #define PERIOD_US (1 * SP_SEC)
 #define LINE_EVENTS 2048
+#define REFUSALS 16384
+#define SUMMARY_US (1 * SP_SEC)
 /* An instance that is silent this long is taken to be gone. */
 #define INSTANCE_LEASE_US (4 * SP_SEC)
 /* A leaving gate still takes calls that crossed its notice. */
@@ -347,14 +349,15 @@
 version_changed(SpCore *c, int64_t now, const char *how)
 {
     const SpVersion *v = SpVersions_Current(c->versions);
-    char by[64];
+    char by[64], why[96];
 
     apply_doc(c);
     update_self(c, now);
-    SpCore_Event(c, now, "config",
-                 "version=%d offset=%" PRId64 " hash=%s id=%s by=%s how=%s",
-                 v->number, v->offset, v->hash, v->id,
-                 SpLog_Quote(by, sizeof by, v->by), how);
+    SpCore_Event(
+        c, now, "config",
+        "version=%d offset=%" PRId64 " hash=%s by=%s reason=%s how=%s",
+        v->number, v->offset, v->hash, SpLog_Quote(by, sizeof by, v->by),
+        SpLog_Quote(why, sizeof why, v->reason), how);
     push_version(c, now);
 }
 
@@ -636,6 +639,58 @@
     }
 }
 
+/* Once a second, one event for all refusals since the last. */
+static void
+sum_refusals(SpCore *c, int64_t now)
+{
+    GString *s;
+    int k;
+
+    if (now - c->summed < SUMMARY_US) {
+        return;
+    }
+    c->summed = now;
+    s = g_string_new(NULL);
+    for (k = SP_OK + 1; k < SP_NKINDS; k++) {
+        uint64_t n = c->n.ended[k] - c->summed_ended[k];
+        c->summed_ended[k] = c->n.ended[k];
+        if (n) {
+            g_string_append_printf(s, " %s=%" PRIu64,
+                                   SpKind_Info((SpKind)k)->name, n);
+        }
+    }
+    if (s->len) {
+        SpCore_Event(c, now, "refused", "level=%d%s", SpGate_Level(c->gate),
+                     s->str);
+    }
+    g_string_free(s, TRUE);
+}
+
+/* Keys may be bound to this node as well; its own clock is always known. */
+static void
+tell_own_clock(SpCore *c, int64_t now)
+{
+    SpPick *p = SpCore_PickOf(c, c->o.service);
+
+    SpPick_Clock(p, now, SpPick_Find(p, c->o.name),
+                 SpMembers_Clock(c->members, now));
+}
+
+static void
+watch_level(SpCore *c, int64_t now)
+{
+    int top = (c->doc ? c->doc->nclasses : 1) * SP_SLICES;
+    int hot = SpGate_Level(c->gate) < top;
+
+    if (hot != c->hot) {
+        c->hot = hot;
+        SpCore_Event(c, now, hot ? "overload" : "overload-end",
+                     "level=%d limit=%.0f running=%d queued=%d",
+                     SpGate_Level(c->gate), SpGate_Limit(c->gate),
+                     SpGate_Running(c->gate), SpGate_Queued(c->gate));
+    }
+}
+
 int64_t
 SpCore_Stall(const SpCore *c, int64_t now)
 {
@@ -657,6 +712,9 @@
     check_instance(c, now);
     check_deadlines(c, now);
     SpGate_Tick(c->gate, now);
+    watch_level(c, now);
+    sum_refusals(c, now);
+    tell_own_clock(c, now);
     SpCore_TickViews(c, now);
     SpCore_Pump(c, now);
     tick_log(c, now);
@@ -722,6 +780,7 @@
     c->keys = SpKeys_New(4096, 86400000);
     c->versions = SpVersions_New();
     c->line = SpLine_New(LINE_EVENTS);
+    c->refusals = SpRefusals_New(REFUSALS);
     c->picks =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_pick);
     c->route_views =
@@ -748,6 +807,7 @@
     SpMembers_Free(c->members);
     SpVersions_Free(c->versions);
     SpLine_Free(c->line);
+    SpRefusals_Free(c->refusals);
     g_hash_table_destroy(c->picks);
     g_hash_table_destroy(c->route_views);
     g_hash_table_destroy(c->serv_views);
@@ -789,6 +849,12 @@
     return c->keys;
 }
 
+const SpRefusals *
+SpCore_Refusals(const SpCore *c)
+{
+    return c->refusals;
+}
+
 SpLine *
 SpCore_Line(const SpCore *c)
 {
--- a/core/core.h
+++ b/core/core.h
@@ -18,6 +18,7 @@
 #include "core/line.h"
 #include "core/members.h"
 #include "core/pick.h"
+#include "core/refusals.h"
 #include "core/version.h"
 
 typedef enum { SP_FROM_CALLER, SP_FROM_NODE, SP_FROM_INSTANCE } SpSource;
@@ -163,6 +164,7 @@
 const SpVersions *SpCore_Versions(const SpCore *c);
 const SpGate *SpCore_Gate(const SpCore *c);
 const SpKeys *SpCore_Keys(const SpCore *c);
+const SpRefusals *SpCore_Refusals(const SpCore *c);
 SpLine *SpCore_Line(const SpCore *c);
 const SpDoc *SpCore_Doc(const SpCore *c);
 size_t SpCore_Requests(const SpCore *c);
--- a/core/state.h
+++ b/core/state.h
@@ -70,6 +70,10 @@
     SpMembers *members;
     SpVersions *versions;
     SpLine *line;
+    SpRefusals *refusals;
+    int hot;        /* the gate's level is below the top */
+    int64_t summed; /* time of the last summary of refusals */
+    uint64_t summed_ended[SP_NKINDS];
     GHashTable *picks;       /* service name -> SpPick */
     GHashTable *route_views; /* route name -> SpLevelView */
     GHashTable *serv_views;  /* service name -> SpLevelView */
--- a/node/admin.c
+++ b/node/admin.c
@@ -1,19 +1,11 @@
 /* Administration: JSON over HTTP for operators. */
 #include <string.h>
 
-#include "node/fns.h"
+#include "node/admin.h"
 
 #define PUBLISH_WAIT_US (10 * SP_SEC)
 #define WAIT_POLL_MS 20
 
-typedef struct Request {
-    Node *n;
-    SpWebReq *web;
-    const SpToken *who;
-    const char *path;
-    const char *query; /* "" for none */
-} Request;
-
 typedef struct Endpoint {
     const char *method;
     const char *path;
@@ -24,10 +16,12 @@
 /* A publish that waits to read its record back. */
 typedef struct Waiter {
     Node *n;
-    SpWebReq *web; /* NULL once the client left */
+    SpWebReq *web;
     char *id;
     int64_t until;
     uv_timer_t timer;
+    PublishedCb cb;
+    void *ctx;
 } Waiter;
 
 static void
@@ -198,6 +192,49 @@
     g_string_free(s, TRUE);
 }
 
+static void
+refusal_line(GString *s, const SpRefusal *r, const char *node)
+{
+    g_string_append_printf(
+        s,
+        "hlc=%" PRIu64 ".%u node=%s event=refusal trace=%016" PRIx64
+        "%016" PRIx64 " kind=%s outcome=%s route=%s class=%d slice=%d "
+        "rank=%d level=%d version=%d\n",
+        r->hlc >> 16, (unsigned)(r->hlc & 0xffff), node, r->trace[0],
+        r->trace[1], SpKind_Info(r->kind)->name, SpOutcome_Name(r->outcome),
+        r->route[0] ? r->route : "-", r->class, r->slice,
+        r->class * SP_SLICES + r->slice, r->level, r->version);
+}
+
+/* ?trace=ID tells of one, else the newest hundred */
+static void
+get_refusals(Request *q)
+{
+    static const SpHeader type = {"content-type", "text/plain"};
+    const SpRefusals *rs = SpCore_Refusals(q->n->core);
+    GString *s = g_string_new(NULL);
+    const SpRefusal *r;
+    uint64_t trace[2];
+    guint i;
+
+    if (strncmp(q->query, "trace=", 6) == 0) {
+        r = strlen(q->query) == 38 && SpParse_Hex(q->query + 6, 16, trace) &&
+                    SpParse_Hex(q->query + 22, 16, trace + 1)
+                ? SpRefusals_Find(rs, trace)
+                : NULL;
+        if (r) {
+            refusal_line(s, r, q->n->set.name);
+        }
+    }
+    else {
+        for (i = 0; i < MIN(SpRefusals_Count(rs), 100); i++) {
+            refusal_line(s, SpRefusals_At(rs, i), q->n->set.name);
+        }
+    }
+    SpWeb_Reply(q->web, 200, &type, 1, s->str, s->len);
+    g_string_free(s, TRUE);
+}
+
 static void
 metric(GString *s, const char *name, const char *labels, double v)
 {
@@ -291,32 +328,27 @@
 static void
 on_wait(uv_timer_t *t)
 {
-    static const char *const names[] = {"unknown", "accepted", "lost",
-                                        "invalid"};
-    static const int statuses[] = {504, 201, 409, 422};
     Waiter *w = t->data;
     SpPubState st = SpCore_Published(w->n->core, w->id);
-    json_t *j;
 
     if (st == SP_PUB_UNSEEN && SpClock_Now() < w->until) {
         return;
     }
     uv_timer_stop(t);
-    j = json_pack(
-        "{s:s, s:s, s:o}", "result", names[st], "id", w->id, "in_force",
-        version_json(SpVersions_Current(SpCore_Versions(w->n->core)), 0));
-    reply_json(w->web, statuses[st], j);
+    w->cb(w->ctx, st);
     uv_close((uv_handle_t *)t, on_waiter_closed);
 }
 
-static void
-wait_for(Request *q, char *id)
+void
+wait_published(Request *q, char *id, PublishedCb cb, void *ctx)
 {
     Waiter *w = g_new0(Waiter, 1);
 
     w->n = q->n;
     w->web = q->web;
     w->id = id;
+    w->cb = cb;
+    w->ctx = ctx;
     w->until = SpClock_Now() + PUBLISH_WAIT_US;
     SpWebReq_Hold(w->web);
     uv_timer_init(q->n->loop, &w->timer);
@@ -324,6 +356,21 @@
     uv_timer_start(&w->timer, on_wait, WAIT_POLL_MS, WAIT_POLL_MS);
 }
 
+static void
+on_published(void *ctx, SpPubState st)
+{
+    static const char *const names[] = {"unknown", "accepted", "lost",
+                                        "invalid"};
+    static const int statuses[] = {504, 201, 409, 422};
+    Request *q = ctx;
+    const SpVersion *v = SpVersions_Current(SpCore_Versions(q->n->core));
+
+    reply_json(q->web, statuses[st],
+               json_pack("{s:s, s:o}", "result", names[st], "in_force",
+                         version_json(v, 0)));
+    g_free(q);
+}
+
 /* {"replaces": N, "reason": "..", "document": ".."} */
 static void
 post_config(Request *q)
@@ -350,9 +397,11 @@
                              problems_json(ps)));
     }
     else {
-        wait_for(q, SpCore_Publish(q->n->core, SpClock_Now(),
-                                   (int)json_integer_value(replaces),
-                                   q->who->name, reason, text));
+        wait_published(q,
+                       SpCore_Publish(q->n->core, SpClock_Now(),
+                                      (int)json_integer_value(replaces),
+                                      q->who->name, reason, text),
+                       on_published, g_memdup2(q, sizeof *q));
     }
     json_decref(j);
     SpProblems_Free(ps);
@@ -415,7 +464,12 @@
     {"GET", "/v1/history", 0, get_history},
     {"GET", "/v1/members", 0, get_members},
     {"GET", "/v1/events", 0, get_events},
+    {"GET", "/v1/refusals", 0, get_refusals},
     {"GET", "/metrics", 0, get_metrics},
+    {"GET", "/", 0, get_console},
+    {"GET", "/console", 0, get_console},
+    {"GET", "/console/edit", 0, get_edit},
+    {"POST", "/console/edit", 1, post_edit},
     {"POST", "/v1/check", 0, post_check},
     {"POST", "/v1/config", 1, post_config},
     {"POST", "/v1/drain", 1, post_drain},
@@ -423,33 +477,67 @@
     {"POST", "/v1/faults/drop", 1, post_drop},
 };
 
+char *
+form_token(const Request *q)
+{
+    return g_compute_hmac_for_string(
+        G_CHECKSUM_SHA256, (const guchar *)q->n->form_secret,
+        strlen(q->n->form_secret), q->who->name, -1);
+}
+
+/* The token stands behind "Bearer", or is the password of "Basic", which a
+   browser asks for by itself. */
+static char *
+given_token(SpWebReq *web)
+{
+    const char *s = SpWebReq_Header(web, "authorization");
+    char *plain, *colon, *all, *token;
+    gsize n;
+
+    if (s && strncmp(s, "Bearer ", 7) == 0) {
+        return g_strdup(s + 7);
+    }
+    if (!s || strncmp(s, "Basic ", 6) != 0) {
+        return NULL;
+    }
+    plain = (char *)g_base64_decode(s + 6, &n);
+    all = g_strndup(plain, n);
+    colon = strchr(all, ':');
+    token = g_strdup(colon ? colon + 1 : "");
+    g_free(plain);
+    g_free(all);
+    return token;
+}
+
 static const SpToken *
 token_of(const Node *n, SpWebReq *web)
 {
-    const char *s = SpWebReq_Header(web, "authorization");
+    char *given = given_token(web);
     const SpToken *found = NULL;
     int i;
 
-    if (!s || strncmp(s, "Bearer ", 7) != 0) {
-        return NULL;
-    }
-    for (i = 0; i < n->set.ntokens; i++) {
-        if (SpEqual_Const(n->set.tokens[i].token, s + 7)) {
+    for (i = 0; given && i < n->set.ntokens; i++) {
+        if (SpEqual_Const(n->set.tokens[i].token, given)) {
             found = &n->set.tokens[i];
         }
     }
+    g_free(given);
     return found;
 }
 
-static void
-refuse(Request *q, int status, const char *why)
+void
+refuse_admin(Request *q, int status, const char *why)
 {
-    char path[128];
+    static const SpHeader hs[] = {
+        {"content-type", "application/json"},
+        {"www-authenticate", "Basic realm=\"siskinpond\""}};
+    char path[128], body[160];
 
     SpLog(SP_LOG_WARN, "admin-refused", "status=%d path=%s who=%s", status,
           SpLog_Quote(path, sizeof path, q->path),
           q->who ? q->who->name : "-");
-    reply_error(q->web, status, why);
+    g_snprintf(body, sizeof body, "{\"error\": \"%s\"}\n", why);
+    SpWeb_Reply(q->web, status, hs, status == 401 ? 2 : 1, body, strlen(body));
 }
 
 static void
@@ -464,7 +552,7 @@
     q.path = SpArena_Dup(SpWebReq_Arena(web), full, n);
     q.who = token_of(q.n, web);
     if (!q.who) {
-        refuse(&q, 401, "send a known token as Authorization: Bearer");
+        refuse_admin(&q, 401, "send a known token as Authorization: Bearer");
         return;
     }
     for (i = 0; i < G_N_ELEMENTS(endpoints); i++) {
@@ -477,7 +565,7 @@
             continue;
         }
         if (e->change && strcmp(q.who->role, "change") != 0) {
-            refuse(&q, 403, "this token may view only");
+            refuse_admin(&q, 403, "this token may view only");
             return;
         }
         e->run(&q);
--- a/node/calls.c
+++ b/node/calls.c
@@ -66,6 +66,8 @@
     call->n = n;
     call->web = web;
     call->source = c->source;
+    call->trace[0] = c->trace[0];
+    call->trace[1] = c->trace[1];
     SpWebReq_Hold(web);
     SpWebReq_SetData(web, call);
     c->method = SpWebReq_Method(web);
@@ -376,7 +378,7 @@
     Call *call = user;
     const SpKindInfo *ki = SpKind_Info(a->kind);
     Headers hs = {.count = 0};
-    char wire[320], retry[16], body[200];
+    char wire[320], retry[16], body[200], trace[40];
     const char *text = a->body;
     size_t len = a->body_len;
     int i;
@@ -401,6 +403,11 @@
     if (a->key[0]) {
         add_header(&hs, "idempotency-key", a->key);
     }
+    if (call->source == SP_FROM_CALLER) {
+        g_snprintf(trace, sizeof trace, "%016" PRIx64 "%016" PRIx64,
+                   call->trace[0], call->trace[1]);
+        add_header(&hs, "sp-trace", trace);
+    }
     if (call->source == SP_FROM_NODE) {
         print_wire_answer(wire, sizeof wire, a);
         add_header(&hs, "sp-answer", wire);
--- /dev/null
+++ b/node/console.c
@@ -0,0 +1,749 @@
+/* The console: plain HTML forms that make the one document. */
+#include <string.h>
+
+#include "node/admin.h"
+
+#define MAX_LINES 4000
+
+typedef struct FormField {
+    const char *path; /* dotted, in the document */
+    const char *label;
+    int is_real;
+} FormField;
+
+static const FormField top_fields[] = {
+    {"retries.per_request", "Retries of one request, over the whole chain", 0},
+    {"retries.ratio", "Retries of a node, as a share of its first attempts",
+     1},
+    {"limits.body_bytes", "Largest body of a request, bytes", 0},
+    {"limits.answer_bytes", "Largest body of an answer, bytes", 0},
+    {"limits.queue_ms", "Wait in a queue that is aimed at, ms", 0},
+    {"limits.keys", "Keys that one instance remembers", 0},
+    {"limits.key_ttl_ms", "How long it remembers them, ms", 0},
+    {"limits.stop_ms", "Bound of a planned stop, ms", 0},
+};
+
+/*
+ * Output.
+ */
+
+static void
+text(GString *s, const char *t)
+{
+    gchar *e = g_markup_escape_text(t ? t : "", -1);
+
+    g_string_append(s, e);
+    g_free(e);
+}
+
+static void
+page_start(GString *s, const char *title, const Node *n)
+{
+    g_string_append(
+        s, "<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\">"
+           "<meta name=\"viewport\" content=\"width=device-width\"><title>");
+    text(s, title);
+    g_string_append(
+        s, "</title><style>body{font:16px/1.4 sans-serif;margin:0 auto;"
+           "max-width:70em;padding:0 1em}table{border-collapse:collapse}"
+           "td,th{padding:.2em .6em;text-align:left;border-bottom:1px solid "
+           "#ccc}.wide{overflow-x:auto}label{display:block;margin-top:.6em}"
+           "input,select{font:inherit;max-width:100%}fieldset{margin:1em 0;"
+           "border:1px solid #999}pre{background:#f4f4f4;padding:.5em;"
+           "overflow-x:auto}.bad{color:#a00000}.add{color:#006000}"
+           "button{font:inherit;padding:.3em 1em;margin:.8em .6em .8em 0}"
+           "nav a{margin-right:1em}</style></head><body><nav>"
+           "<a href=\"/console\">Status</a><a href=\"/console/edit\">Edit</a>"
+           "</nav><h1>");
+    text(s, title);
+    g_string_append(s, "</h1><p>Seen from node <b>");
+    text(s, n->set.name);
+    g_string_append(s, "</b>, zone <b>");
+    text(s, n->set.zone);
+    g_string_append(s, "</b>.</p>");
+}
+
+static void
+page_send(SpWebReq *web, int status, GString *s)
+{
+    static const SpHeader hs[] = {
+        {"content-type", "text/html; charset=utf-8"},
+        {"cache-control", "no-store"},
+        {"content-security-policy",
+         "default-src 'none'; style-src 'unsafe-inline'; "
+         "form-action 'self'; frame-ancestors 'none'; base-uri 'none'"},
+        {"x-content-type-options", "nosniff"},
+        {"x-frame-options", "DENY"},
+        {"referrer-policy", "no-referrer"}};
+
+    g_string_append(s, "</body></html>\n");
+    SpWeb_Reply(web, status, hs, G_N_ELEMENTS(hs), s->str, s->len);
+    g_string_free(s, TRUE);
+}
+
+/*
+ * Differences, line by line, by the longest common subsequence.
+ */
+
+static void
+diff_line(GString *s, const char *class, char sign, const char *line)
+{
+    g_string_append_printf(s, "<span class=\"%s\">%c ", class, sign);
+    text(s, line);
+    g_string_append(s, "</span>\n");
+}
+
+static void
+diff(GString *s, const char *old, const char *new)
+{
+    char **a = g_strsplit(old, "\n", MAX_LINES);
+    char **b = g_strsplit(new, "\n", MAX_LINES);
+    size_t n = g_strv_length(a), m = g_strv_length(b), i, k;
+    guint16 *t = g_new0(guint16, (n + 1) * (m + 1));
+    int changes = 0;
+
+#define AT(x, y) t[(x) * (m + 1) + (y)]
+    for (i = n; i-- > 0;) {
+        for (k = m; k-- > 0;) {
+            AT(i, k) = strcmp(a[i], b[k]) == 0
+                           ? AT(i + 1, k + 1) + 1
+                           : MAX(AT(i + 1, k), AT(i, k + 1));
+        }
+    }
+    g_string_append(s, "<pre>");
+    for (i = k = 0; i < n || k < m;) {
+        if (i < n && k < m && strcmp(a[i], b[k]) == 0) {
+            i++;
+            k++;
+            continue;
+        }
+        changes++;
+        if (k >= m || (i < n && AT(i + 1, k) >= AT(i, k + 1))) {
+            diff_line(s, "bad", '-', a[i++]);
+        }
+        else {
+            diff_line(s, "add", '+', b[k++]);
+        }
+    }
+#undef AT
+    g_string_append(s, changes ? "</pre>" : "no difference</pre>");
+    g_free(t);
+    g_strfreev(a);
+    g_strfreev(b);
+}
+
+/*
+ * The form.
+ */
+
+static GHashTable *
+parse_form(const char *body, size_t n)
+{
+    GHashTable *f =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    char *copy = g_strndup(body, n);
+    char **part = g_strsplit(copy, "&", 0), **p;
+
+    for (p = part; *p; p++) {
+        char *eq = strchr(*p, '='), *k, *v;
+        if (!eq) {
+            continue;
+        }
+        *eq = '\0';
+        g_strdelimit(*p, "+", ' ');
+        g_strdelimit(eq + 1, "+", ' ');
+        k = g_uri_unescape_string(*p, NULL);
+        v = g_uri_unescape_string(eq + 1, NULL);
+        if (k && v && g_utf8_validate(v, -1, NULL)) {
+            g_hash_table_replace(f, k, v);
+        }
+        else {
+            g_free(k);
+            g_free(v);
+        }
+    }
+    g_strfreev(part);
+    g_free(copy);
+    return f;
+}
+
+static const char *
+value_of(GHashTable *form, const char *name)
+{
+    return form ? g_hash_table_lookup(form, name) : NULL;
+}
+
+static const char *
+problem_at(const SpProblems *ps, const char *place)
+{
+    guint i;
+
+    for (i = 0; ps && i < SpProblems_Count(ps); i++) {
+        if (strcmp(SpProblems_At(ps, i)->place, place) == 0) {
+            return SpProblems_At(ps, i)->text;
+        }
+    }
+    return NULL;
+}
+
+static void
+put_problem(GString *s, const SpProblems *ps, const char *place)
+{
+    const char *t = problem_at(ps, place);
+
+    if (t) {
+        g_string_append(s, " <span class=\"bad\">");
+        text(s, t);
+        g_string_append(s, "</span>");
+    }
+}
+
+static void
+put_input(GString *s, const char *name, const char *label, const char *value,
+          const SpProblems *ps)
+{
+    g_string_append(s, "<label>");
+    text(s, label);
+    g_string_append_printf(s, " <input name=\"%s\" value=\"", name);
+    text(s, value);
+    g_string_append(s, "\"></label>");
+    put_problem(s, ps, name);
+}
+
+/* A scalar of the document as text; numbers as they were written. */
+static char *
+scalar(const json_t *v)
+{
+    if (json_is_string(v)) {
+        return g_strdup(json_string_value(v));
+    }
+    if (json_is_integer(v)) {
+        return g_strdup_printf("%" JSON_INTEGER_FORMAT, json_integer_value(v));
+    }
+    if (json_is_real(v)) {
+        return g_strdup_printf("%g", json_real_value(v));
+    }
+    return g_strdup("");
+}
+
+static json_t *
+lookup(json_t *doc, const char *path)
+{
+    char **part = g_strsplit(path, ".", 2);
+    json_t *v = json_object_get(json_object_get(doc, part[0]), part[1]);
+
+    g_strfreev(part);
+    return v;
+}
+
+/* What was typed becomes a number if it is one, else it stays a string, for
+   the check to name. */
+static json_t *
+typed(const char *t, int is_real)
+{
+    char *end;
+    gint64 v = g_ascii_strtoll(t, &end, 10);
+    double x;
+
+    if (*t && !*end) {
+        return json_integer(v);
+    }
+    x = g_ascii_strtod(t, &end);
+    return *t && !*end && is_real ? json_real(x) : json_string(t);
+}
+
+static void
+set_field(json_t *doc, const FormField *f, const char *t)
+{
+    char **part = g_strsplit(f->path, ".", 2);
+    json_t *o = json_object_get(doc, part[0]);
+
+    if (!o) {
+        o = json_object();
+        json_object_set_new(doc, part[0], o);
+    }
+    if (*t || json_object_get(o, part[1])) {
+        json_object_set_new(o, part[1], typed(t, f->is_real));
+    }
+    g_strfreev(part);
+}
+
+static void
+apply_rows(json_t *list, const char *name, const char *const *fields,
+           GHashTable *form)
+{
+    const char *const *f;
+    char key[96];
+    size_t i;
+    json_t *o;
+
+    json_array_foreach(list, i, o)
+    {
+        for (f = fields; *f; f++) {
+            const char *t;
+            g_snprintf(key, sizeof key, "%s[%zu].%s", name, i, *f);
+            t = value_of(form, key);
+            if (t && strcmp(*f, "class") == 0) {
+                json_object_set_new(o, *f, json_string(t));
+            }
+            else if (t && strcmp(*f, "idempotent") == 0) {
+                json_object_set_new(o, *f,
+                                    json_boolean(strcmp(t, "yes") == 0));
+            }
+            else if (t && (*t || json_object_get(o, *f))) {
+                json_object_set_new(o, *f, typed(t, 0));
+            }
+        }
+    }
+}
+
+static const char *const route_row[] = {"class", "idempotent", "deadline_ms",
+                                        NULL};
+static const char *const service_row[] = {"slots", "connections", "queue",
+                                          NULL};
+
+static void
+apply_form(json_t *doc, GHashTable *form)
+{
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(top_fields); i++) {
+        const char *t = value_of(form, top_fields[i].path);
+        if (t) {
+            set_field(doc, &top_fields[i], t);
+        }
+    }
+    apply_rows(json_object_get(doc, "routes"), "routes", route_row, form);
+    apply_rows(json_object_get(doc, "services"), "services", service_row,
+               form);
+}
+
+static void
+put_choice(GString *s, const char *name, const char *const *options,
+           const char *now)
+{
+    g_string_append_printf(s, "<select name=\"%s\" aria-label=\"%s\">", name,
+                           name);
+    for (; *options; options++) {
+        g_string_append_printf(s, "<option%s>",
+                               strcmp(*options, now) == 0 ? " selected" : "");
+        text(s, *options);
+        g_string_append(s, "</option>");
+    }
+    g_string_append(s, "</select>");
+}
+
+static void
+put_cell(GString *s, const char *name, const json_t *v, const SpProblems *ps)
+{
+    char *t = scalar(v);
+
+    g_string_append_printf(
+        s, "<input name=\"%s\" aria-label=\"%s\" size=\"7\" value=\"", name,
+        name);
+    text(s, t);
+    g_string_append(s, "\">");
+    put_problem(s, ps, name);
+    g_free(t);
+}
+
+static void
+put_routes(GString *s, json_t *doc, const SpProblems *ps)
+{
+    static const char *const yes_no[] = {"yes", "no", NULL};
+    const char *classes[SP_MAX_CLASSES + 1] = {NULL};
+    json_t *list = json_object_get(doc, "classes"), *o;
+    char name[64];
+    size_t i;
+
+    for (i = 0; i < json_array_size(list) && i < SP_MAX_CLASSES; i++) {
+        classes[i] = json_string_value(json_array_get(list, i));
+    }
+    g_string_append(s, "<fieldset><legend>Which requests matter most, and "
+                       "which are non-idempotent</legend><div class=\"wide\">"
+                       "<table><tr><th>Route<th>Class<th>May run twice"
+                       "<th>Deadline, ms</tr>");
+    json_array_foreach(json_object_get(doc, "routes"), i, o)
+    {
+        char *t = scalar(json_object_get(o, "class"));
+        g_string_append(s, "<tr><td>");
+        text(s, json_string_value(json_object_get(o, "name")));
+        g_string_append(s, "<td>");
+        g_snprintf(name, sizeof name, "routes[%zu].class", i);
+        put_choice(s, name, classes, t);
+        put_problem(s, ps, name);
+        g_string_append(s, "<td>");
+        g_snprintf(name, sizeof name, "routes[%zu].idempotent", i);
+        put_choice(s, name, yes_no,
+                   json_is_true(json_object_get(o, "idempotent")) ? "yes"
+                                                                  : "no");
+        put_problem(s, ps, name);
+        g_string_append(s, "<td>");
+        g_snprintf(name, sizeof name, "routes[%zu].deadline_ms", i);
+        put_cell(s, name, json_object_get(o, "deadline_ms"), ps);
+        g_string_append(s, "</tr>");
+        g_free(t);
+    }
+    g_string_append(s, "</table></div></fieldset>");
+}
+
+static void
+put_services(GString *s, json_t *doc, const SpProblems *ps)
+{
+    const char *const *f;
+    char name[64];
+    size_t i;
+    json_t *o;
+
+    g_string_append(s, "<fieldset><legend>Limits of each instance</legend>"
+                       "<div class=\"wide\"><table><tr><th>Service<th>Slots"
+                       "<th>Connections<th>Queue</tr>");
+    json_array_foreach(json_object_get(doc, "services"), i, o)
+    {
+        g_string_append(s, "<tr><td>");
+        text(s, json_string_value(json_object_get(o, "name")));
+        for (f = service_row; *f; f++) {
+            g_string_append(s, "<td>");
+            g_snprintf(name, sizeof name, "services[%zu].%s", i, *f);
+            put_cell(s, name, json_object_get(o, *f), ps);
+        }
+        g_string_append(s, "</tr>");
+    }
+    g_string_append(s, "</table></div></fieldset>");
+}
+
+static void
+put_form(GString *s, const Request *q, json_t *doc, int replaces,
+         const char *reason, const SpProblems *ps)
+{
+    char *token = form_token(q);
+    size_t i;
+
+    g_string_append_printf(
+        s,
+        "<form method=\"post\" action=\"/console/edit\">"
+        "<input type=\"hidden\" name=\"form\" value=\"%s\">"
+        "<input type=\"hidden\" name=\"replaces\" value=\"%d\">",
+        token, replaces);
+    g_free(token);
+    put_routes(s, doc, ps);
+    g_string_append(s, "<fieldset><legend>How far retries may go, and other "
+                       "limits</legend>");
+    for (i = 0; i < G_N_ELEMENTS(top_fields); i++) {
+        char *t = scalar(lookup(doc, top_fields[i].path));
+        put_input(s, top_fields[i].path, top_fields[i].label, t, ps);
+        g_free(t);
+    }
+    g_string_append(s, "</fieldset>");
+    put_services(s, doc, ps);
+    put_input(s, "reason", "Reason, for the record", reason, ps);
+    g_string_append(s, "<br><button name=\"action\" value=\"check\">Check"
+                       "</button><button name=\"action\" value=\"publish\">"
+                       "Check and publish</button></form>");
+}
+
+static void
+put_problems(GString *s, const SpProblems *ps)
+{
+    guint i;
+
+    g_string_append_printf(s,
+                           "<h2 class=\"bad\">Nothing was published: %u "
+                           "to mend</h2><ul>",
+                           SpProblems_Count(ps));
+    for (i = 0; i < SpProblems_Count(ps); i++) {
+        const SpProblem *p = SpProblems_At(ps, i);
+        g_string_append(s, "<li><b>");
+        text(s, p->place);
+        g_string_append(s, "</b>: ");
+        text(s, p->text);
+    }
+    g_string_append(s, "</ul>");
+}
+
+static char *
+pretty(json_t *j)
+{
+    char *t = json_dumps(j, JSON_INDENT(1)), *copy = g_strdup(t ? t : "");
+
+    free(t);
+    return copy;
+}
+
+static char *
+pretty_text(const char *doc)
+{
+    json_t *j = json_loads(doc, 0, NULL);
+    char *t = pretty(j);
+
+    json_decref(j);
+    return t;
+}
+
+static const SpVersion *
+in_force(const Request *q)
+{
+    return SpVersions_Current(SpCore_Versions(q->n->core));
+}
+
+static void
+put_difference(GString *s, const SpVersion *v, json_t *doc)
+{
+    char *old = pretty_text(v->text), *new = pretty(doc);
+
+    g_string_append_printf(
+        s, "<h2>Difference from version %d, which is in force</h2>",
+        v->number);
+    diff(s, old, new);
+    g_free(old);
+    g_free(new);
+}
+
+void
+get_edit(Request *q)
+{
+    const SpVersion *v = in_force(q);
+    GString *s = g_string_new(NULL);
+    json_t *doc;
+
+    page_start(s, "Edit the configuration", q->n);
+    if (!v) {
+        g_string_append(s, "<p>No configuration is known here yet. Publish "
+                           "the first by <code>spctl publish</code>.</p>");
+        page_send(q->web, 200, s);
+        return;
+    }
+    doc = json_loads(v->text, 0, NULL);
+    g_string_append_printf(s, "<p>Version %d is in force, by ", v->number);
+    text(s, v->by);
+    g_string_append(s, ": ");
+    text(s, v->reason);
+    g_string_append(s, "</p>");
+    put_form(s, q, doc, v->number, "", NULL);
+    json_decref(doc);
+    page_send(q->web, 200, s);
+}
+
+/* The page after a check or a publish; st tells what came of it. */
+static void
+send_edited(Request *q, json_t *doc, const char *reason, SpProblems *ps,
+            const char *done, int status)
+{
+    const SpVersion *v = in_force(q);
+    GString *s = g_string_new(NULL);
+
+    page_start(s, "Edit the configuration", q->n);
+    if (SpProblems_Count(ps)) {
+        put_problems(s, ps);
+    }
+    else {
+        g_string_append(s, "<h2>");
+        text(s, done);
+        g_string_append(s, "</h2>");
+    }
+    put_difference(s, v, doc);
+    put_form(s, q, doc, v->number, reason, ps);
+    page_send(q->web, status, s);
+}
+
+typedef struct Edit {
+    Request q;
+    json_t *doc;
+    char *reason;
+} Edit;
+
+static void
+on_published(void *ctx, SpPubState st)
+{
+    static const char *const texts[] = {
+        "Not known yet: the log has not been read back. Look again before "
+        "you publish anew",
+        "Published and in force",
+        "Another publish was first. The difference below is from the "
+        "winner; what you typed is kept",
+        "Refused by the check of the nodes"};
+    static const int statuses[] = {504, 200, 409, 422};
+    Edit *e = ctx;
+    SpProblems *ps = SpProblems_New();
+
+    send_edited(&e->q, e->doc, e->reason, ps, texts[st], statuses[st]);
+    SpProblems_Free(ps);
+    json_decref(e->doc);
+    g_free(e->reason);
+    g_free(e);
+}
+
+static void
+publish_edit(Request *q, json_t *doc, int replaces, const char *reason)
+{
+    Edit *e = g_new0(Edit, 1);
+    char *t = pretty(doc);
+
+    e->q = *q;
+    e->doc = json_incref(doc);
+    e->reason = g_strdup(reason);
+    wait_published(q,
+                   SpCore_Publish(q->n->core, SpClock_Now(), replaces,
+                                  q->who->name, reason, t),
+                   on_published, e);
+    g_free(t);
+}
+
+void
+post_edit(Request *q)
+{
+    size_t n;
+    const char *body = SpWebReq_Body(q->web, &n);
+    GHashTable *form = parse_form(body, n);
+    const char *token = value_of(form, "form");
+    const char *reason = value_of(form, "reason");
+    const char *action = value_of(form, "action");
+    const char *replaces = value_of(form, "replaces");
+    char *want = form_token(q), *t;
+    const SpVersion *v = in_force(q);
+    SpProblems *ps = SpProblems_New();
+    int64_t number = 0;
+    json_t *doc = v ? json_loads(v->text, 0, NULL) : NULL;
+
+    if (!token || !SpEqual_Const(want, token) || !doc) {
+        refuse_admin(q, 403, "the form's token is missing or wrong");
+    }
+    else {
+        apply_form(doc, form);
+        t = pretty(doc);
+        g_free(SpDoc_Parse(t, strlen(t), ps));
+        g_free(t);
+        if (!reason || !*reason) {
+            SpProblems_Add(ps, "reason", "missing; say why, for the record");
+        }
+        if (!replaces ||
+            !SpParse_Int(replaces, strlen(replaces), 0, INT32_MAX, &number)) {
+            SpProblems_Add(ps, "replaces", "must be a version number");
+        }
+        if (SpProblems_Count(ps) || !action ||
+            strcmp(action, "publish") != 0) {
+            send_edited(q, doc, reason ? reason : "", ps, "It checks", 200);
+        }
+        else {
+            publish_edit(q, doc, (int)number, reason);
+        }
+    }
+    json_decref(doc);
+    SpProblems_Free(ps);
+    g_hash_table_destroy(form);
+    g_free(want);
+}
+
+/*
+ * Status.
+ */
+
+static void
+put_bar(GString *s, double share)
+{
+    g_string_append_printf(
+        s,
+        "<svg width=\"104\" height=\"12\" role=\"img\" aria-label=\"%.0f "
+        "percent\"><rect x=\"0\" y=\"0\" width=\"102\" height=\"12\" "
+        "fill=\"#e4e4e4\"/><rect x=\"1\" y=\"1\" width=\"%.0f\" "
+        "height=\"10\" fill=\"%s\"/></svg>",
+        100 * share, 100 * CLAMP(share, 0, 1),
+        share < 1 ? "#2060a0" : "#a04020");
+}
+
+static void
+put_members(GString *s, const Request *q)
+{
+    const SpMembers *ms = SpCore_Members(q->n->core);
+    guint i;
+
+    g_string_append(s, "<h2>Members</h2><div class=\"wide\"><table><tr>"
+                       "<th>Service<th>Instance<th>Zone<th>State</tr>");
+    for (i = 0; i < SpMembers_Count(ms); i++) {
+        const SpMember *m = SpMembers_At(ms, i);
+        g_string_append(s, "<tr><td>");
+        text(s, m->service);
+        g_string_append(s, "<td>");
+        text(s, m->name);
+        g_string_append(s, "<td>");
+        text(s, m->zone);
+        g_string_append(s, "<td>");
+        text(s, SpMemberState_Name(m->state));
+        g_string_append(s, "</tr>");
+    }
+    g_string_append(s, "</table></div>");
+}
+
+static void
+put_levels(GString *s, const Request *q)
+{
+    const SpDoc *d = SpCore_Doc(q->n->core);
+    int i, top;
+
+    if (!d) {
+        return;
+    }
+    top = d->nclasses * SP_SLICES;
+    g_string_append(s, "<h2>What this entry admits</h2><div class=\"wide\">"
+                       "<table><tr><th>Route<th>Class<th>Level<th></tr>");
+    for (i = 0; i < d->nroutes; i++) {
+        int l = SpCore_RouteLevel(q->n->core, d->routes[i].name);
+        g_string_append(s, "<tr><td>");
+        text(s, d->routes[i].name);
+        g_string_append(s, "<td>");
+        text(s, d->routes[i].class_name);
+        g_string_append_printf(s, "<td>%d of %d<td>", l, top);
+        put_bar(s, (double)l / top);
+        g_string_append(s, "</tr>");
+    }
+    g_string_append(s, "</table></div>");
+}
+
+static void
+put_answers(GString *s, const Request *q)
+{
+    const SpCounters *k = SpCore_Counters(q->n->core);
+    int i;
+
+    g_string_append(s, "<h2>Answers by kind</h2><div class=\"wide\"><table>"
+                       "<tr><th>Kind<th>Count<th>Meaning</tr>");
+    for (i = 0; i < SP_NKINDS; i++) {
+        const SpKindInfo *info = SpKind_Info((SpKind)i);
+        if (k->ended[i]) {
+            g_string_append_printf(s, "<tr><td>%s<td>%" PRIu64 "<td>%s</tr>",
+                                   info->name, k->ended[i], info->text);
+        }
+    }
+    g_string_append(s, "</table></div>");
+}
+
+void
+get_console(Request *q)
+{
+    const SpGate *g = SpCore_Gate(q->n->core);
+    const SpVersion *v = in_force(q);
+    GString *s = g_string_new(NULL);
+
+    page_start(s, "Status", q->n);
+    if (v) {
+        g_string_append_printf(s, "<p>Version <b>%d</b> is in force, by ",
+                               v->number);
+        text(s, v->by);
+        g_string_append(s, ": ");
+        text(s, v->reason);
+        g_string_append(s, "</p>");
+    }
+    else {
+        g_string_append(s, "<p class=\"bad\">No configuration is known: "
+                           "only safe calls are served.</p>");
+    }
+    g_string_append_printf(s, "<p>Gate: %d running of %.0f, %d queued. Load ",
+                           SpGate_Running(g), SpGate_Limit(g),
+                           SpGate_Queued(g));
+    put_bar(s, SpGate_Load(g) / 100.0);
+    g_string_append(s, "</p>");
+    put_levels(s, q);
+    put_answers(s, q);
+    put_members(s, q);
+    page_send(q->web, 200, s);
+}
--- a/node/node.h
+++ b/node/node.h
@@ -31,6 +31,7 @@
     Node *n;
     SpWebReq *web;
     SpSource source;
+    uint64_t trace[2];
     SpHandle h;
     uint32_t number;
     int is_run; /* the fetch goes to the own instance */
--- a/node/spnode.c
+++ b/node/spnode.c
@@ -147,6 +147,8 @@
 
     n->web = SpWeb_New(n->loop, &wo);
     n->core = make_core(n);
+    g_snprintf(n->form_secret, sizeof n->form_secret,
+               "%016" PRIx64 "%016" PRIx64, random_word(), random_word());
     if (!listen_calls(n, err) || !listen_admin(n, err)) {
         return 0;
     }
