--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(OUT)/spctl: $(OUT)/cmd/review.o
 $(OUT)/spctl $(OUT)/spcall: $(OUT)/%: $(OUT)/cmd/%.o $(OUT)/libspweb.a \
 		$(OUT)/libsp.a
 	@echo ld $@
@@ -51,7 +52,8 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-$(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(wildcard test/*.c)) \
+$(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(filter-out test/fuzz.c,\
+		$(wildcard test/*.c))) \
 		$(OUT)/libsp.a
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LIBS)
@@ -66,6 +68,16 @@
 mutants:
 	@test/mutants.sh
 
+# libFuzzer on the parsers of outside input; FUZZ_RUNS bounds it
+FUZZ_RUNS = 200000
+fuzz:
+	@mkdir -p out/fuzz out/corpus
+	clang $(CPPFLAGS) -std=c11 -D_GNU_SOURCE -g -O1 \
+		-fsanitize=fuzzer,address,undefined -o out/fuzz/spfuzz \
+		test/fuzz.c $(LIBSRC) -lmsgpackc -lm \
+		$(shell pkg-config --libs $(PKGS))
+	out/fuzz/spfuzz -runs=$(FUZZ_RUNS) -seed=1 -max_len=4096 out/corpus
+
 demo: all
 	@demo/demo.sh $(OUT)
 
@@ -76,6 +88,10 @@
 bench: all
 	@demo/bench.sh $(OUT)
 
+# control cost by number of nodes; docs/CAPACITY.md is worked out from it
+slopes: all
+	@demo/slopes.sh $(OUT) 10 30 100
+
 format:
 	clang-format -i $(SRC) $(HDR)
 
@@ -91,4 +107,4 @@
 -include $(LIBOBJ:.o=.d) $(WEBOBJ:.o=.d) $(NODEOBJ:.o=.d) \
 	$(wildcard $(OUT)/*/*.d)
 
-.PHONY: all test soak mutants demo demo-faults bench format lint clean
+.PHONY: all test soak mutants fuzz demo demo-faults bench slopes format lint clean
--- /dev/null
+++ b/cmd/ctl.h
@@ -0,0 +1,17 @@
+/* ctl: what the files of spctl share. */
+#ifndef SP_CTL_H
+#define SP_CTL_H
+
+#include "conf/conf.h"
+
+/* ctl_fetch asks the admin address `node`; returns 1 if an answer came. */
+int ctl_fetch(const char *node, const char *method, const char *path,
+              const char *body);
+int ctl_status(void);
+const char *ctl_body(void);
+
+/* review.c */
+int run_timeline(int argc, char **argv);
+int run_review(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/cmd/review.c
@@ -0,0 +1,538 @@
+/* One ordered timeline of all nodes, and the review of an interval. */
+#include <string.h>
+
+#include "base/base.h"
+#include "cmd/ctl.h"
+
+#define MAX_SOURCES 1024
+#define SVG_WIDTH 1000
+#define SVG_ROW 18
+#define SVG_LEFT 140
+
+typedef struct Event {
+    int64_t ms;
+    unsigned count;
+    char node[SP_NAME_BYTES];
+    char kind[32];
+    char *text; /* the key=value pairs after event= */
+} Event;
+
+typedef struct Want {
+    int64_t from, to; /* wall ms */
+    const char *node, *kind, *match, *svg, *trace;
+    const char *sources[MAX_SOURCES];
+    int nsources;
+} Want;
+
+static GArray *events;     /* of Event */
+static GPtrArray *unknown; /* sentences on what could not be learnt */
+
+/* The value of a key in a line of pairs; quoted values keep their quotes. */
+static int
+pair(const char *line, const char *key, char *to, size_t n)
+{
+    size_t k = strlen(key), i = 0;
+    const char *p = line;
+    int quoted;
+
+    while ((p = strstr(p, key)) != NULL) {
+        if ((p == line || p[-1] == ' ') && p[k] == '=') {
+            break;
+        }
+        p += k;
+    }
+    if (!p) {
+        return 0;
+    }
+    p += k + 1;
+    quoted = *p == '"';
+    while (*p && i + 1 < n) {
+        if (!quoted && *p == ' ') {
+            break;
+        }
+        if (quoted && i > 0 && *p == '"' && p[-1] != '\\') {
+            to[i++] = '"';
+            break;
+        }
+        to[i++] = *p++;
+    }
+    to[i] = '\0';
+    return 1;
+}
+
+static void
+take_line(const char *line, const char *fallback_node)
+{
+    char hlc[40], *dot;
+    const char *p;
+    Event e = {0};
+
+    if (!pair(line, "hlc", hlc, sizeof hlc) ||
+        !pair(line, "event", e.kind, sizeof e.kind)) {
+        return;
+    }
+    if (!pair(line, "node", e.node, sizeof e.node) &&
+        !pair(line, "name", e.node, sizeof e.node)) {
+        g_strlcpy(e.node, fallback_node, sizeof e.node);
+    }
+    dot = strchr(hlc, '.');
+    e.ms = g_ascii_strtoll(hlc, NULL, 10);
+    e.count = dot ? (unsigned)g_ascii_strtoull(dot + 1, NULL, 10) : 0;
+    /* the rest stands after both event= and hlc= */
+    p = strstr(line, " hlc=");
+    if (!p || strstr(p, " event=")) {
+        p = strstr(line, " event=");
+    }
+    p = strchr(p + 1, ' ');
+    e.text = g_strdup(p ? p + 1 : "");
+    g_array_append_val(events, e);
+}
+
+static int64_t
+take_lines(const char *text, const char *source)
+{
+    char **lines = g_strsplit(text, "\n", 0), **l;
+    guint before = events->len;
+    int64_t oldest = INT64_MAX;
+
+    for (l = lines; *l; l++) {
+        take_line(*l, source);
+    }
+    g_strfreev(lines);
+    for (; before < events->len; before++) {
+        oldest = MIN(oldest, g_array_index(events, Event, before).ms);
+    }
+    return oldest;
+}
+
+static void not_known(const char *fmt, ...) G_GNUC_PRINTF(1, 2);
+
+static void
+not_known(const char *fmt, ...)
+{
+    va_list ap;
+
+    va_start(ap, fmt);
+    g_ptr_array_add(unknown, g_strdup_vprintf(fmt, ap));
+    va_end(ap);
+}
+
+static void
+take_source(const Want *w, const char *s)
+{
+    gchar *text = NULL;
+    int64_t oldest;
+
+    if (SpParse_Addr(s, NULL, 0, NULL)) {
+        if (!ctl_fetch(s, "GET", "/v1/events", NULL) || ctl_status() != 200) {
+            not_known("node at %s: its events could not be had", s);
+            return;
+        }
+        oldest = take_lines(ctl_body(), s);
+    }
+    else if (g_file_get_contents(s, &text, NULL, NULL)) {
+        oldest = take_lines(text, s);
+        g_free(text);
+    }
+    else {
+        not_known("%s: cannot be read", s);
+        return;
+    }
+    if (oldest > w->from && w->from > 0) {
+        not_known("%s: nothing before ms %" PRId64, s, oldest);
+    }
+}
+
+static int
+by_time(const void *a, const void *b)
+{
+    const Event *x = a, *y = b;
+
+    if (x->ms != y->ms) {
+        return x->ms < y->ms ? -1 : 1;
+    }
+    if (x->count != y->count) {
+        return x->count < y->count ? -1 : 1;
+    }
+    return strcmp(x->node, y->node);
+}
+
+static int
+is_same(const Event *a, const Event *b)
+{
+    return by_time(a, b) == 0 && strcmp(a->kind, b->kind) == 0 &&
+           strcmp(a->text, b->text) == 0;
+}
+
+static void
+gather(const Want *w)
+{
+    guint i, n = 0;
+
+    events = g_array_new(FALSE, TRUE, sizeof(Event));
+    unknown = g_ptr_array_new();
+    for (i = 0; i < (guint)w->nsources; i++) {
+        take_source(w, w->sources[i]);
+    }
+    g_array_sort(events, by_time);
+    /* a ring and a log file hold the same event */
+    for (i = 0; i < events->len; i++) {
+        Event *e = &g_array_index(events, Event, i);
+        if (n == 0 || !is_same(e, &g_array_index(events, Event, n - 1))) {
+            g_array_index(events, Event, n++) = *e;
+        }
+    }
+    g_array_set_size(events, n);
+}
+
+static int
+fits(const Want *w, const Event *e)
+{
+    if (e->ms < w->from || e->ms > w->to) {
+        return 0;
+    }
+    if (w->node && strcmp(w->node, e->node) != 0) {
+        return 0;
+    }
+    if (w->kind && strcmp(w->kind, e->kind) != 0) {
+        return 0;
+    }
+    return !w->match || strstr(e->text, w->match);
+}
+
+static int
+option(const char *arg, const char *name, const char **to)
+{
+    size_t k = strlen(name);
+
+    if (strncmp(arg, name, k) == 0 && arg[k] == '=') {
+        *to = arg + k + 1;
+        return 1;
+    }
+    return 0;
+}
+
+static int
+take_args(Want *w, int argc, char **argv)
+{
+    const char *from = NULL, *to = NULL;
+    int i;
+
+    memset(w, 0, sizeof *w);
+    w->to = INT64_MAX;
+    for (i = 1; i < argc; i++) {
+        if (option(argv[i], "from", &from) || option(argv[i], "to", &to) ||
+            option(argv[i], "node", &w->node) ||
+            option(argv[i], "event", &w->kind) ||
+            option(argv[i], "match", &w->match) ||
+            option(argv[i], "svg", &w->svg) ||
+            option(argv[i], "trace", &w->trace)) {
+            continue;
+        }
+        if (w->nsources < MAX_SOURCES) {
+            w->sources[w->nsources++] = argv[i];
+        }
+    }
+    if (from) {
+        w->from = g_ascii_strtoll(from, NULL, 10);
+    }
+    if (to) {
+        w->to = g_ascii_strtoll(to, NULL, 10);
+    }
+    if (w->nsources == 0) {
+        fprintf(stderr,
+                "spctl: usage: spctl %s [from=MS] [to=MS] [node=NAME] "
+                "[event=KIND] [match=TEXT] [svg=FILE] [trace=ID] "
+                "ADDR-OR-FILE...\n",
+                argv[0]);
+        return 0;
+    }
+    return 1;
+}
+
+/* A row for each node, a mark for each event. */
+static void
+write_svg(const Want *w)
+{
+    GPtrArray *nodes = g_ptr_array_new();
+    FILE *f = fopen(w->svg, "w");
+    int64_t first = INT64_MAX, last = 0;
+    guint i, k;
+
+    if (!f) {
+        fprintf(stderr, "spctl: %s: cannot be written\n", w->svg);
+        g_ptr_array_free(nodes, TRUE);
+        return;
+    }
+    for (i = 0; i < events->len; i++) {
+        const Event *e = &g_array_index(events, Event, i);
+        if (!fits(w, e)) {
+            continue;
+        }
+        first = MIN(first, e->ms);
+        last = MAX(last, e->ms);
+        if (!g_ptr_array_find_with_equal_func(nodes, e->node, g_str_equal,
+                                              NULL)) {
+            g_ptr_array_add(nodes, (gpointer)e->node);
+        }
+    }
+    fprintf(f,
+            "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" "
+            "height=\"%u\" font-family=\"sans-serif\" font-size=\"12\">\n",
+            SVG_LEFT + SVG_WIDTH + 20, (nodes->len + 2) * SVG_ROW);
+    for (k = 0; k < nodes->len; k++) {
+        fprintf(f, "<text x=\"2\" y=\"%u\">%s</text>\n", (k + 1) * SVG_ROW,
+                (char *)g_ptr_array_index(nodes, k));
+    }
+    for (i = 0; i < events->len; i++) {
+        const Event *e = &g_array_index(events, Event, i);
+        gchar *t = g_markup_escape_text(e->text, -1);
+        if (fits(w, e) && g_ptr_array_find_with_equal_func(nodes, e->node,
+                                                           g_str_equal, &k)) {
+            fprintf(f,
+                    "<circle cx=\"%.1f\" cy=\"%u\" r=\"4\" fill=\"%s\">"
+                    "<title>%" PRId64 " %s %s</title></circle>\n",
+                    SVG_LEFT + (double)SVG_WIDTH * (double)(e->ms - first) /
+                                   (double)MAX(last - first, 1),
+                    (k + 1) * SVG_ROW - 4,
+                    strcmp(e->kind, "config") == 0     ? "#2060a0"
+                    : strcmp(e->kind, "refused") == 0  ? "#a04020"
+                    : strcmp(e->kind, "overload") == 0 ? "#d08000"
+                                                       : "#606060",
+                    e->ms, e->kind, t);
+        }
+        g_free(t);
+    }
+    fprintf(f,
+            "<text x=\"%d\" y=\"%u\">%" PRId64 " ms to %" PRId64
+            " ms</text>\n</svg>\n",
+            SVG_LEFT, (nodes->len + 1) * SVG_ROW + 4, first, last);
+    fclose(f);
+    g_ptr_array_free(nodes, TRUE);
+}
+
+static void
+print_unknown(void)
+{
+    guint i;
+
+    for (i = 0; i < unknown->len; i++) {
+        printf("not known: %s\n", (char *)g_ptr_array_index(unknown, i));
+    }
+}
+
+int
+run_timeline(int argc, char **argv)
+{
+    Want w;
+    guint i;
+
+    if (!take_args(&w, argc, argv)) {
+        return 2;
+    }
+    gather(&w);
+    for (i = 0; i < events->len; i++) {
+        const Event *e = &g_array_index(events, Event, i);
+        if (fits(&w, e)) {
+            printf("hlc=%" PRId64 ".%u node=%s event=%s %s\n", e->ms, e->count,
+                   e->node, e->kind, e->text);
+        }
+    }
+    if (w.svg) {
+        write_svg(&w);
+    }
+    print_unknown();
+    return 0;
+}
+
+/*
+ * Review.
+ */
+
+/* What was in force at each node when the interval began, and what came. */
+static void
+review_config(const Want *w)
+{
+    GHashTable *at_start = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter it;
+    gpointer k, v;
+    guint i;
+
+    for (i = 0; i < events->len; i++) {
+        Event *e = &g_array_index(events, Event, i);
+        if (strcmp(e->kind, "config") == 0 && e->ms < w->from) {
+            g_hash_table_replace(at_start, e->node, e);
+        }
+    }
+    printf("in force at the start:\n");
+    g_hash_table_iter_init(&it, at_start);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        const Event *e = v;
+        printf("  %s: since ms %" PRId64 ": %s\n", e->node, e->ms, e->text);
+    }
+    printf("taken into force:\n");
+    for (i = 0; i < events->len; i++) {
+        const Event *e = &g_array_index(events, Event, i);
+        if (strcmp(e->kind, "config") == 0 && fits(w, e)) {
+            printf("  ms %" PRId64 " %s: %s\n", e->ms, e->node, e->text);
+        }
+    }
+    g_hash_table_destroy(at_start);
+}
+
+static void
+review_kinds(const Want *w, const char *title, const char *const *kinds)
+{
+    const char *const *k;
+    guint i;
+
+    printf("%s:\n", title);
+    for (i = 0; i < events->len; i++) {
+        const Event *e = &g_array_index(events, Event, i);
+        for (k = kinds; *k; k++) {
+            if (strcmp(e->kind, *k) == 0 && fits(w, e)) {
+                printf("  ms %" PRId64 " %s: %s %s\n", e->ms, e->node, e->kind,
+                       e->text);
+            }
+        }
+    }
+}
+
+static void
+review_refused(const Want *w)
+{
+    GHashTable *sums =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    GHashTableIter it;
+    gpointer k, v;
+    guint i;
+
+    for (i = 0; i < events->len; i++) {
+        const Event *e = &g_array_index(events, Event, i);
+        char **f, **p;
+        if (strcmp(e->kind, "refused") != 0 || !fits(w, e)) {
+            continue;
+        }
+        f = g_strsplit(e->text, " ", 0);
+        for (p = f; *p; p++) {
+            char *eq = strchr(*p, '=');
+            int64_t *n;
+            char *key;
+            if (!eq || strncmp(*p, "level=", 6) == 0) {
+                continue;
+            }
+            *eq = '\0';
+            key = g_strdup_printf("%s %s", e->node, *p);
+            n = g_hash_table_lookup(sums, key);
+            if (!n) {
+                n = g_new0(int64_t, 1);
+                g_hash_table_insert(sums, g_strdup(key), n);
+            }
+            *n += g_ascii_strtoll(eq + 1, NULL, 10);
+            g_free(key);
+        }
+        g_strfreev(f);
+    }
+    printf("refused, by node and kind:\n");
+    g_hash_table_iter_init(&it, sums);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        printf("  %s: %" PRId64 "\n", (char *)k, *(int64_t *)v);
+    }
+    g_hash_table_destroy(sums);
+}
+
+static const Event *
+config_at(const char *node, const char *version)
+{
+    char v[24];
+    guint i;
+
+    for (i = events->len; i > 0; i--) {
+        const Event *e = &g_array_index(events, Event, i - 1);
+        if (strcmp(e->kind, "config") == 0 && strcmp(e->node, node) == 0 &&
+            pair(e->text, "version", v, sizeof v) && strcmp(v, version) == 0) {
+            return e;
+        }
+    }
+    return NULL;
+}
+
+static void
+explain(const char *line)
+{
+    char kind[32], rank[16], level[16], version[16], node[64];
+    const Event *e;
+
+    printf("%s", line);
+    if (!pair(line, "kind", kind, sizeof kind) ||
+        !pair(line, "rank", rank, sizeof rank) ||
+        !pair(line, "level", level, sizeof level) ||
+        !pair(line, "version", version, sizeof version) ||
+        !pair(line, "node", node, sizeof node)) {
+        return;
+    }
+    printf("  %s: %s\n", kind, SpKind_Info(SpKind_ByName(kind))->text);
+    if (strcmp(kind, "shed") == 0) {
+        printf("  its rank %s is not below the level %s that its path "
+               "admitted then\n",
+               rank, level);
+    }
+    e = config_at(node, version);
+    if (e) {
+        printf("  in force at %s since ms %" PRId64 ": %s\n", node, e->ms,
+               e->text);
+    }
+    else {
+        printf("  version %s was in force at %s; who published it is not in "
+               "its events any more\n",
+               version, node);
+    }
+}
+
+static void
+review_trace(const Want *w)
+{
+    char *path = g_strdup_printf("/v1/refusals?trace=%s", w->trace);
+    int i, found = 0;
+
+    printf("request %s:\n", w->trace);
+    for (i = 0; i < w->nsources; i++) {
+        if (SpParse_Addr(w->sources[i], NULL, 0, NULL) &&
+            ctl_fetch(w->sources[i], "GET", path, NULL) &&
+            ctl_status() == 200 && ctl_body()[0]) {
+            char *line = g_strdup(ctl_body());
+            explain(line);
+            g_free(line);
+            found = 1;
+        }
+    }
+    if (!found) {
+        printf("  not known: no node asked remembers a refusal of it\n");
+    }
+    g_free(path);
+}
+
+int
+run_review(int argc, char **argv)
+{
+    static const char *const limits[] = {"overload", "overload-end", NULL};
+    static const char *const changes[] = {
+        "publish", "member",        "leaving",     "returning", "log-down",
+        "log-up",  "instance-lost", "instance-up", "started",   "stopped",
+        NULL};
+    Want w;
+
+    if (!take_args(&w, argc, argv)) {
+        return 2;
+    }
+    gather(&w);
+    review_config(&w);
+    review_kinds(&w, "gates that lowered their level", limits);
+    review_refused(&w);
+    review_kinds(&w, "changes around it", changes);
+    if (w.trace) {
+        review_trace(&w);
+    }
+    print_unknown();
+    return 0;
+}
--- a/cmd/spctl.c
+++ b/cmd/spctl.c
@@ -3,8 +3,9 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <zmq.h>
 
-#include "conf/conf.h"
+#include "cmd/ctl.h"
 #include "web/web.h"
 
 #define VERSION "0.1.0"
@@ -50,13 +51,13 @@
     uv_stop(ctl.loop);
 }
 
-/* Returns 1 if an answer came; it is in ctl. */
-static int
-fetch(const char *method, const char *path, const char *body)
+int
+ctl_fetch(const char *node, const char *method, const char *path,
+          const char *body)
 {
     char *auth = g_strdup_printf("Bearer %s", ctl.token ? ctl.token : "");
     SpHeader hs[1] = {{"authorization", auth}};
-    SpFetchOpts o = {.addr = ctl.node,
+    SpFetchOpts o = {.addr = node,
                      .method = method,
                      .path = path,
                      .headers = hs,
@@ -66,14 +67,33 @@
                      .timeout_ms = TIMEOUT_MS,
                      .cb = on_fetched};
 
+    SpWeb_Fetch(ctl.web, &o);
+    uv_run(ctl.loop, UV_RUN_DEFAULT);
+    g_free(auth);
+    return ctl.end == SP_FETCH_OK;
+}
+
+int
+ctl_status(void)
+{
+    return ctl.status;
+}
+
+const char *
+ctl_body(void)
+{
+    return ctl.body;
+}
+
+/* Asks the node of -n. Returns 1 if an answer came; it is in ctl. */
+static int
+fetch(const char *method, const char *path, const char *body)
+{
     if (!ctl.node || !SpParse_Addr(ctl.node, NULL, 0, NULL)) {
         fail("%s", "name a node's admin address: -n IP:PORT");
         exit(2);
     }
-    SpWeb_Fetch(ctl.web, &o);
-    uv_run(ctl.loop, UV_RUN_DEFAULT);
-    g_free(auth);
-    if (ctl.end != SP_FETCH_OK) {
+    if (!ctl_fetch(ctl.node, method, path, body)) {
         fail("%s: no answer", ctl.node);
         return 0;
     }
@@ -158,7 +178,7 @@
 static int
 run_publish(int argc, char **argv)
 {
-    json_t *j;
+    json_t *j, *v;
     char *text, *body;
     const char *result;
     int ok;
@@ -188,14 +208,15 @@
     ok = result && strcmp(result, "accepted") == 0;
     fprintf(ok ? stdout : stderr, "%s: %s", argv[1],
             result ? result : ctl.body);
-    j = json_object_get(j, "in_force");
-    if (j) {
+    v = json_object_get(j, "in_force");
+    if (v) {
         fprintf(ok ? stdout : stderr, "; version %d by %s is in force: %s",
-                (int)json_integer_value(json_object_get(j, "version")),
-                json_string_value(json_object_get(j, "by")),
-                json_string_value(json_object_get(j, "reason")));
+                (int)json_integer_value(json_object_get(v, "version")),
+                json_string_value(json_object_get(v, "by")),
+                json_string_value(json_object_get(v, "reason")));
     }
     fprintf(ok ? stdout : stderr, "\n");
+    json_decref(j);
     return ok ? 0 : 1;
 }
 
@@ -221,11 +242,12 @@
     }
     j = json_loads(ctl.body, 0, NULL);
     text = json_string_value(json_object_get(j, "document"));
-    if (!text) {
-        return fail("%s: no configuration is known there yet", ctl.node);
+    if (text) {
+        fputs(text, stdout);
     }
-    fputs(text, stdout);
-    return 0;
+    json_decref(j);
+    return text ? 0
+                : fail("%s: no configuration is known there yet", ctl.node);
 }
 
 static int
@@ -276,6 +298,22 @@
     return fetch("POST", "/v1/undrain", NULL) ? print_body() : 1;
 }
 
+/* Settings lines for a pair of keys between nodes. */
+static int
+run_keys(int argc, char **argv)
+{
+    char public[41], secret[41];
+
+    (void)argc;
+    (void)argv;
+    if (zmq_curve_keypair(public, secret) != 0) {
+        return fail("%s", "this ZeroMQ makes no CURVE keys");
+    }
+    printf("\"peer_public\": \"%s\",\n\"peer_secret\": \"%s\"\n", public,
+           secret);
+    return 0;
+}
+
 static const Command commands[] = {
     {"check", "FILE", "check a configuration document", run_check},
     {"publish", "FILE", "publish one (-r REASON)", run_publish},
@@ -284,6 +322,11 @@
     {"history", "", "print the versions that were in force", run_history},
     {"members", "", "print the members that a node knows", run_members},
     {"events", "", "print a node's events", run_events},
+    {"timeline", "ADDR..", "merge the events of nodes and log files",
+     run_timeline},
+    {"review", "ADDR..", "what was in force, what was refused and why",
+     run_review},
+    {"keys", "", "make a pair of keys for the nodes' settings", run_keys},
     {"drain", "", "let a node's instance leave", run_drain},
     {"undrain", "", "let it take work again", run_undrain},
 };
@@ -302,7 +345,7 @@
                "  -h, --help           print this\n"
                "  -V, --version        print the version\n");
     for (i = 0; i < G_N_ELEMENTS(commands); i++) {
-        fprintf(f, "  %-8s %-5s %s\n", commands[i].name, commands[i].args,
+        fprintf(f, "  %-8s %-6s %s\n", commands[i].name, commands[i].args,
                 commands[i].help);
     }
     return status;
--- a/core/gate.c
+++ b/core/gate.c
@@ -14,7 +14,7 @@
 /* A queue this many ticks old counts as one. */
 #define QUEUE_TICKS 3
 /* The queue is held at this share of the run time: it keeps slots busy. */
-#define WAIT_SHARE 0.5
+#define WAIT_SHARE 0.8
 /* A queue longer than that is to be worked off in this time. */
 #define DRAIN_US (1 * SP_SEC)
 #define DRAIN_SHARE 0.35
--- a/core/members.c
+++ b/core/members.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "core/members.h"
+#include "core/packed.h"
 
 #define WIRE_VERSION 1
 #define MAX_UPDATES 8
@@ -728,7 +729,8 @@
     int ok;
 
     msgpack_unpacked_init(&u);
-    ok = msgpack_unpack_next(&u, p, n, &off) == MSGPACK_UNPACK_SUCCESS &&
+    ok = SpPacked_Check(p, n) &&
+         msgpack_unpack_next(&u, p, n, &off) == MSGPACK_UNPACK_SUCCESS &&
          off == n && get_head(&u.data, &h);
     if (ok && strcmp(h.name, ms->self->name) != 0) {
         list = &u.data.via.array.ptr[10];
--- a/demo/mesh.sh
+++ b/demo/mesh.sh
@@ -63,6 +63,7 @@
  "peer": "$(addr "$1" peer)", "admin": "$(addr "$1" admin)",
  "log": "$LOG", "contacts": [$contacts],
  "mesh_token": "mesh-token-of-the-demo", "fault_drops": true,
+ $KEYS,
  "tokens": [{"name": "demo", "token": "$TOKEN", "role": "change"},
             {"name": "watcher", "token": "$VIEW", "role": "view"}]}
 END
@@ -90,6 +91,7 @@
 # start_mesh DOCUMENT ROUTES: start all, publish, wait until all are ready
 start_mesh() {
     local n rest
+    KEYS=$("$OUT/spctl" keys)
     write_upstreams "$2"
     run splog "$OUT/splog" -l "$LOG" -r 300
     run spup "$OUT/spup" -c "$DIR/upstreams.json"
--- a/node/peers.c
+++ b/node/peers.c
@@ -19,7 +19,10 @@
     Node *n;
     void *ctx;
     void *in;
-    uv_poll_t poll;
+    void *zap;     /* tells which keys may connect; NULL without keys */
+    void *monitor; /* tells of handshakes that failed */
+    int64_t refused_at;
+    uv_poll_t poll, zap_poll;
     Link links[MAX_LINKS];
     int nlinks;
     uint64_t turn;
@@ -43,12 +46,156 @@
     (void)ps;
 }
 
+/*
+ * Authentication (ZAP, RFC 27 of ZeroMQ): a client is let in by its key.
+ */
+
+static int
+is_known_key(const Peers *ps, const void *key, size_t n)
+{
+    uint8_t raw[32];
+
+    return n == sizeof raw && zmq_z85_decode(raw, ps->n->set.peer_public) &&
+           memcmp(raw, key, sizeof raw) == 0;
+}
+
+static void
+answer_zap(Peers *ps, int known, const void *id, size_t n)
+{
+    zmq_send(ps->zap, "1.0", 3, ZMQ_SNDMORE);
+    zmq_send(ps->zap, id, n, ZMQ_SNDMORE);
+    zmq_send(ps->zap, known ? "200" : "400", 3, ZMQ_SNDMORE);
+    zmq_send(ps->zap, "", 0, ZMQ_SNDMORE);
+    zmq_send(ps->zap, "", 0, ZMQ_SNDMORE);
+    zmq_send(ps->zap, "", 0, 0);
+}
+
+/* version, id, domain, address, identity, mechanism, key */
+static void
+poll_zap(Peers *ps)
+{
+    char frame[7][256] = {{0}};
+    size_t size[7] = {0};
+    int i, n, more, known;
+    size_t len = sizeof more;
+
+    for (;;) {
+        for (i = 0, more = 1; more; i++) {
+            n = zmq_recv(ps->zap, frame[MIN(i, 6)], sizeof frame[0],
+                         ZMQ_DONTWAIT);
+            if (n < 0) {
+                return;
+            }
+            size[MIN(i, 6)] = MIN((size_t)n, sizeof frame[0]);
+            zmq_getsockopt(ps->zap, ZMQ_RCVMORE, &more, &len);
+        }
+        known = i == 7 && size[5] == 5 && memcmp(frame[5], "CURVE", 5) == 0 &&
+                is_known_key(ps, frame[6], size[6]);
+        if (!known) {
+            SpLog(SP_LOG_WARN, "peer-refused", "why=key address=%.*s",
+                  i > 3 ? (int)size[3] : 0, frame[3]);
+        }
+        answer_zap(ps, known, frame[1], size[1]);
+    }
+}
+
+/* A peer whose key is wrong fails before it can ask; one line a second. */
+static void
+poll_monitor(Peers *ps)
+{
+    char event[16], addr[64];
+    int64_t now = SpClock_Now();
+    int n;
+
+    while (zmq_recv(ps->monitor, event, sizeof event, ZMQ_DONTWAIT) >= 0) {
+        n = zmq_recv(ps->monitor, addr, sizeof addr, 0);
+        if (n >= 0 && now - ps->refused_at > SP_SEC) {
+            ps->refused_at = now;
+            SpLog(SP_LOG_WARN, "peer-refused", "why=handshake at=%.*s",
+                  MIN(n, (int)sizeof addr), addr);
+        }
+    }
+}
+
+static int
+open_monitor(Peers *ps)
+{
+    static const char url[] = "inproc://refused";
+
+    if (zmq_socket_monitor(ps->in, url,
+                           ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
+                               ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL |
+                               ZMQ_EVENT_HANDSHAKE_FAILED_AUTH) != 0) {
+        return 0;
+    }
+    ps->monitor = zmq_socket(ps->ctx, ZMQ_PAIR);
+    set_int(ps->monitor, ZMQ_LINGER, 0);
+    return zmq_connect(ps->monitor, url) == 0;
+}
+
+static void
+on_zap(uv_poll_t *p, int status, int events)
+{
+    (void)status;
+    (void)events;
+    poll_zap(p->data);
+}
+
+static void
+watch_socket(Peers *ps, void *sock, uv_poll_t *poll, uv_poll_cb cb)
+{
+    int fd;
+    size_t n = sizeof fd;
+
+    zmq_getsockopt(sock, ZMQ_FD, &fd, &n);
+    uv_poll_init(ps->n->loop, poll, fd);
+    poll->data = ps;
+    uv_poll_start(poll, UV_READABLE, cb);
+}
+
+static int
+open_zap(Peers *ps)
+{
+    if (!ps->n->set.peer_public[0]) {
+        return 1;
+    }
+    ps->zap = zmq_socket(ps->ctx, ZMQ_REP);
+    set_int(ps->zap, ZMQ_LINGER, 0);
+    if (zmq_bind(ps->zap, "inproc://zeromq.zap.01") != 0) {
+        return 0;
+    }
+    if (!open_monitor(ps)) {
+        return 0;
+    }
+    watch_socket(ps, ps->zap, &ps->zap_poll, on_zap);
+    set_int(ps->in, ZMQ_CURVE_SERVER, 1);
+    zmq_setsockopt(ps->in, ZMQ_CURVE_SECRETKEY, ps->n->set.peer_secret, 40);
+    zmq_setsockopt(ps->in, ZMQ_ZAP_DOMAIN, "siskinpond", 10);
+    return 1;
+}
+
+static void
+set_client_keys(const Peers *ps, void *sock)
+{
+    const SpNodeSettings *s = &ps->n->set;
+
+    if (s->peer_public[0]) {
+        zmq_setsockopt(sock, ZMQ_CURVE_SERVERKEY, s->peer_public, 40);
+        zmq_setsockopt(sock, ZMQ_CURVE_PUBLICKEY, s->peer_public, 40);
+        zmq_setsockopt(sock, ZMQ_CURVE_SECRETKEY, s->peer_secret, 40);
+    }
+}
+
 void
 poll_peers(Peers *ps)
 {
     char *buf;
     zmq_msg_t m;
 
+    if (ps->zap) {
+        poll_zap(ps);
+        poll_monitor(ps);
+    }
     for (;;) {
         zmq_msg_init(&m);
         if (zmq_msg_recv(&m, ps->in, ZMQ_DONTWAIT) < 0) {
@@ -82,22 +229,22 @@
     const SpNodeSettings *s = &ps->n->set;
     char url[64];
     int64_t max = MAX_MESSAGE;
-    int fd;
-    size_t n = sizeof fd;
 
     ps->in = zmq_socket(ps->ctx, ZMQ_PULL);
     set_common(ps, ps->in);
     zmq_setsockopt(ps->in, ZMQ_MAXMSGSIZE, &max, sizeof max);
     g_snprintf(url, sizeof url, "tcp://%s", s->peer);
+    if (!open_zap(ps)) {
+        zmq_fail(err, "cannot check keys for", s->peer);
+        zmq_close(ps->in);
+        return 0;
+    }
     if (zmq_bind(ps->in, url) != 0) {
         zmq_fail(err, "cannot listen on", s->peer);
         zmq_close(ps->in);
         return 0;
     }
-    zmq_getsockopt(ps->in, ZMQ_FD, &fd, &n);
-    uv_poll_init(ps->n->loop, &ps->poll, fd);
-    ps->poll.data = ps;
-    uv_poll_start(&ps->poll, UV_READABLE, on_readable);
+    watch_socket(ps, ps->in, &ps->poll, on_readable);
     return 1;
 }
 
@@ -155,6 +302,7 @@
     g_strlcpy(l->addr, addr, sizeof l->addr);
     l->sock = zmq_socket(ps->ctx, ZMQ_PUSH);
     set_common(ps, l->sock);
+    set_client_keys(ps, l->sock);
     g_snprintf(url, sizeof url, "tcp://%s", addr);
     zmq_connect(l->sock, url);
     return l;
--- a/node/store.c
+++ b/node/store.c
@@ -2,6 +2,7 @@
 #include <msgpack.h>
 #include <string.h>
 
+#include "core/packed.h"
 #include "node/fns.h"
 
 #define LOG_TIMEOUT_MS 3000
@@ -92,6 +93,7 @@
 
     msgpack_unpacked_init(&u);
     if (f->end == SP_FETCH_OK && f->status == 200 &&
+        SpPacked_Check(f->body, f->body_len) &&
         msgpack_unpack_next(&u, f->body, f->body_len, &off) ==
             MSGPACK_UNPACK_SUCCESS) {
         ok = take_read(a, &u.data);
--- a/test/admin.t
+++ b/test/admin.t
@@ -54,6 +54,16 @@
 ask POST /console/edit $TOKEN \
     "form=$form&action=publish&replaces=1&reason=late&retries.per_request=5" |
     grep -o 'Another publish was first\|name="retries.per_request" value="5"'
+echo "a peer without the key gets nothing"
+KEYS=$("$OUT/spctl" keys)
+node stranger lots qld-1 25
+write_node stranger lots qld-1 25
+start_node stranger
+wait_until 20 grep -q 'event=peer-refused' "$DIR/sales-1.err"
+echo "refused: $?"
+sleep 2
+ctl sales-1 members | grep -c stranger || true
+ctl stranger members | grep -c sales-1 || true
 echo "refusals are logged without the token"
 grep -c 'event=admin-refused' "$DIR/sales-1.err"
 grep -c 'wrong-token' "$DIR/sales-1.err" || true
--- a/test/unit.c
+++ b/test/unit.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/core.h"
+#include "core/packed.h"
 #include "test/test.h"
 
 /*
@@ -391,6 +392,21 @@
     SpLine_Free(l);
 }
 
+/* Found by fuzzing: headers that announce far more than there is. */
+static void
+test_packed(void)
+{
+    static const unsigned char bomb[] = {0xdf, 0xdf, 0xdf, 0xdf, 0xdf, 0xdf};
+    static const unsigned char list[] = {0x93, 0x01, 0xa2, 'h', 'i', 0xc0};
+    static const unsigned char text[] = {0xd9, 0x05, 'a'};
+
+    CU_ASSERT(!SpPacked_Check(bomb, sizeof bomb));
+    CU_ASSERT(SpPacked_Check(list, sizeof list));
+    CU_ASSERT(!SpPacked_Check(list, sizeof list - 1));
+    CU_ASSERT(!SpPacked_Check(text, sizeof text));
+    CU_ASSERT(!SpPacked_Check("", 0));
+}
+
 int
 run_units(void)
 {
@@ -409,7 +425,8 @@
                  {"core", "key text", test_key_text},
                  {"core", "versions", test_versions},
                  {"core", "versions gap", test_versions_gap},
-                 {"core", "line", test_line}};
+                 {"core", "line", test_line},
+                 {"core", "packed", test_packed}};
     CU_pSuite suite = NULL;
     const char *last = "";
     unsigned failures;
