Core in smaller files; console mended as seen in a browser

Change: the own instance and what nodes share have files of their own; SpAnswer_Init serves the daemon and the tests too; bars are red only below the top, labels stand above their fields.

--- a/core/core.h
+++ b/core/core.h
@@ -94,6 +94,9 @@
     void *ctx;
 } SpCoreOpts;
 
+/* SpAnswer_Init fills in what the table of kinds says of k. */
+void SpAnswer_Init(SpAnswer *a, SpKind k);
+
 #define SP_STREAM_CONFIG "config"
 #define SP_STREAM_MEMBERS "members"
 #define SP_CORE_TICK_US (10 * SP_MS)
--- a/core/state.h
+++ b/core/state.h
@@ -121,6 +121,15 @@
 SpLevelView *SpCore_View(GHashTable *views, const char *name);
 void SpView_Note(SpLevelView *v, int64_t now, int level);
 void SpCore_TickViews(SpCore *c, int64_t now);
+/* inst.c */
+void SpCore_ConfigureGate(SpCore *c);
+void SpCore_UpdateSelf(SpCore *c, int64_t now);
+void SpCore_CheckInstance(SpCore *c, int64_t now);
+/* share.c */
+extern const SpMembersOps SpCore_MembersOps;
+/* SpCore_PlanKeep sets the time at which this node would append a keep. */
+void SpCore_PlanKeep(SpCore *c, int64_t now);
+void SpCore_TickLog(SpCore *c, int64_t now);
 /* core.c */
 int64_t SpCore_WallMs(const SpCore *c, int64_t now);
 int SpCore_TakesWork(const SpCore *c, int64_t now);
@@ -130,7 +139,6 @@
 void SpCore_Event(SpCore *c, int64_t now, const char *kind, const char *fmt,
                   ...) G_GNUC_PRINTF(4, 5);
 SpReq *SpCore_Req(const SpCore *c, SpHandle h);
-void SpAnswer_Init(SpAnswer *a, SpKind k);
 /* SpAnswer_Sign fills in what this node says of itself. */
 void SpAnswer_Sign(const SpCore *c, int64_t now, SpAnswer *a);
 int SpReq_Rank(const SpReq *r);
--- a/node/calls.c
+++ b/node/calls.c
@@ -228,11 +228,8 @@
     const char *outcome = SpFetched_Header(f, "sp-outcome");
     int i;
 
-    memset(a, 0, sizeof *a);
-    a->level = a->load = -1;
-    a->clock_ms = -1;
+    SpAnswer_Init(a, SP_OK);
     a->status = f->status;
-    a->outcome = SP_DONE;
     for (i = 0; i < f->nheaders; i++) {
         pass_header(hs, f->headers[i].name, f->headers[i].value);
     }
@@ -254,20 +251,6 @@
     }
 }
 
-static void
-fill_failure(SpAnswer *a, SpKind k)
-{
-    const SpKindInfo *i = SpKind_Info(k);
-
-    memset(a, 0, sizeof *a);
-    a->kind = k;
-    a->status = i->status;
-    a->outcome = i->outcome;
-    a->retry_ms = i->retry_ms;
-    a->level = a->load = -1;
-    a->clock_ms = -1;
-}
-
 static void
 on_fetched(void *data, const SpFetched *f)
 {
@@ -281,8 +264,8 @@
         fill_answer(call, f, &a, &hs);
     }
     else {
-        fill_failure(&a,
-                     f->end == SP_FETCH_CONNECT ? SP_UNREACHABLE : SP_BROKEN);
+        SpAnswer_Init(&a,
+                      f->end == SP_FETCH_CONNECT ? SP_UNREACHABLE : SP_BROKEN);
         SpLog(SP_LOG_DEBUG, "fetch-failed", "why=\"%s\" run=%d",
               f->why ? f->why : "", call->is_run);
     }
--- a/node/console.c
+++ b/node/console.c
@@ -45,9 +45,10 @@
     text(s, title);
     g_string_append(
         s, "</title><style>body{font:16px/1.4 sans-serif;margin:0 auto;"
-           "max-width:70em;padding:0 1em}table{border-collapse:collapse}"
+           "max-width:70em;padding:1em}table{border-collapse:collapse}"
            "td,th{padding:.2em .6em;text-align:left;border-bottom:1px solid "
            "#ccc}.wide{overflow-x:auto}label{display:block;margin-top:.6em}"
+           "label input{display:block}"
            "input,select{font:inherit;max-width:100%}fieldset{margin:1em 0;"
            "border:1px solid #999}pre{background:#f4f4f4;padding:.5em;"
            "overflow-x:auto}.bad{color:#a00000}.add{color:#006000}"
@@ -639,7 +640,7 @@
  */
 
 static void
-put_bar(GString *s, double share)
+put_bar(GString *s, double share, int hot)
 {
     g_string_append_printf(
         s,
@@ -647,8 +648,7 @@
         "percent\"><rect x=\"0\" y=\"0\" width=\"102\" height=\"12\" "
         "fill=\"#e4e4e4\"/><rect x=\"1\" y=\"1\" width=\"%.0f\" "
         "height=\"10\" fill=\"%s\"/></svg>",
-        100 * share, 100 * CLAMP(share, 0, 1),
-        share < 1 ? "#2060a0" : "#a04020");
+        100 * share, 100 * CLAMP(share, 0, 1), hot ? "#a04020" : "#2060a0");
 }
 
 static void
@@ -693,7 +693,7 @@
         g_string_append(s, "<td>");
         text(s, d->routes[i].class_name);
         g_string_append_printf(s, "<td>%d of %d<td>", l, top);
-        put_bar(s, (double)l / top);
+        put_bar(s, (double)l / top, l < top);
         g_string_append(s, "</tr>");
     }
     g_string_append(s, "</table></div>");
@@ -740,7 +740,7 @@
     g_string_append_printf(s, "<p>Gate: %d running of %.0f, %d queued. Load ",
                            SpGate_Running(g), SpGate_Limit(g),
                            SpGate_Queued(g));
-    put_bar(s, SpGate_Load(g) / 100.0);
+    put_bar(s, SpGate_Load(g) / 100.0, SpGate_Load(g) >= 100);
     g_string_append(s, "</p>");
     put_levels(s, q);
     put_answers(s, q);
--- a/test/world.c
+++ b/test/world.c
@@ -345,19 +345,6 @@
     return e->a;
 }
 
-static void
-failure(SpAnswer *a, SpKind k)
-{
-    const SpKindInfo *i = SpKind_Info(k);
-
-    memset(a, 0, sizeof *a);
-    a->kind = k;
-    a->status = i->status;
-    a->outcome = i->outcome;
-    a->level = a->load = -1;
-    a->clock_ms = -1;
-}
-
 static void
 enter(World *w, Call *c, SpCall *sc)
 {
@@ -460,7 +447,7 @@
         if (n->drop_reply[c->up_node] || chance(w, w->f.lose_reply)) {
             SpAnswer lost;
             n->drop_reply[c->up_node] = 0;
-            failure(&lost, SP_BROKEN);
+            SpAnswer_Init(&lost, SP_BROKEN);
             reply_up(w, c, &lost, latency(w));
             return;
         }
@@ -583,7 +570,7 @@
     Event *e = at(w, latency(w), fire_reply, up->node);
     SpAnswer a;
 
-    failure(&a, k);
+    SpAnswer_Init(&a, k);
     e->call = ref(up);
     e->h = s->request;
     e->number = s->number;
@@ -700,11 +687,8 @@
     Event *e = at(w, LATENCY_US / 10, fire_ran, job->node);
     SpAnswer a;
 
-    memset(&a, 0, sizeof a);
-    a.level = a.load = -1;
-    a.clock_ms = -1;
+    SpAnswer_Init(&a, SP_OK);
     a.status = status;
-    a.outcome = SP_DONE;
     g_snprintf(body, sizeof body, "%s %s", job->id, job->path);
     a.body = why ? why : body;
     a.body_len = strlen(a.body);
@@ -768,7 +752,7 @@
     c->next_child = 0;
     if (strcmp(w->nodes[c->node].inst, "silent") == 0) {
         e = at(w, LATENCY_US, fire_ran, c->node);
-        failure(&a, SP_UNREACHABLE);
+        SpAnswer_Init(&a, SP_UNREACHABLE);
         e->call = ref(c);
         e->number = s->number;
         copy_answer(e, &a);
@@ -1043,7 +1027,7 @@
     while ((e = g_queue_pop_head(&n->held)) != NULL) {
         free_event(e);
     }
-    failure(&broken, SP_BROKEN);
+    SpAnswer_Init(&broken, SP_BROKEN);
     SpCore_Free(n->core);
     n->core = NULL;
     while (n->calls->len) {
