Gate: refuse at once what is far above the level

Cause: in the valve mesh 4 to 6 % of the slot time went to a few look-ups that slipped in while the level was high and then waited 0.8 s at the deepest gate, behind more important work, holding slots above.

--- a/core/gate.c
+++ b/core/gate.c
@@ -37,7 +37,7 @@
    the refusal tells the entries at once. */
 #define QUEUE_SHARE 0.3
 /* A request that is above the level may wait this share of its time. */
-#define VAIN_SHARE 0.4
+#define VAIN_SHARE 0.25
 /* Limit probes: how far down, how long, what loss is accepted. */
 #define PROBE_DOWN 0.9
 #define PROBE_KEEP 0.98
@@ -332,6 +332,10 @@
         start(g, now, ask->rank);
         return SP_GATE_RUN;
     }
+    if (g->o.policy == SP_POLICY_FULL && g->queued > 0 &&
+        ask->rank > g->level + SP_MARGIN) {
+        return SP_GATE_SHED;
+    }
     if (is_full(g, now, ask)) {
         v = g->o.policy == SP_POLICY_FULL ? victim(g, list) : 0;
         if (!v) {
--- a/core/gate.h
+++ b/core/gate.h
@@ -26,7 +26,12 @@
     int nclasses;
 } SpGateOpts;
 
-typedef enum { SP_GATE_RUN, SP_GATE_QUEUED, SP_GATE_FULL } SpGateVerdict;
+typedef enum {
+    SP_GATE_RUN,
+    SP_GATE_QUEUED,
+    SP_GATE_FULL,
+    SP_GATE_SHED /* above the level: it would wait in vain */
+} SpGateVerdict;
 
 typedef struct SpGateAsk {
     SpHandle handle; /* of the request, given back by SpGate_Next */
--- a/core/run.c
+++ b/core/run.c
@@ -189,6 +189,9 @@
     case SP_GATE_QUEUED:
         r->state = SP_REQ_QUEUED;
         break;
+    case SP_GATE_SHED:
+        SpReq_Refuse(c, now, r, SP_SHED);
+        break;
     case SP_GATE_FULL:
     default:
         SpReq_Refuse(c, now, r, SP_QUEUE_FULL);
