--- a/test/script.c
+++ b/test/script.c
@@ -87,6 +87,13 @@
     World_Work(s->w, a[0], atoi(a[1]));
 }
 
+static void
+run_fail(Script *s, int n, char **a)
+{
+    (void)n;
+    World_Fail(s->w, a[0], strcmp(a[1], "on") == 0);
+}
+
 static void
 run_child(Script *s, int n, char **a)
 {
@@ -435,6 +442,7 @@
     {"node", 4, "NAME SERVICE ZONE SLOTS", run_node},
     {"wait", 1, "MS", run_wait},
     {"work", 2, "PATH MS", run_work},
+    {"fail", 2, "PATH on|off", run_fail},
     {"child", 3, "PATH METHOD CHILD-PATH", run_child},
     {"publish", 3, "NODE REPLACES DOC [AS]", run_publish},
     {"published", 2, "NODE DOC", run_published},
--- a/test/world.c
+++ b/test/world.c
@@ -88,6 +88,7 @@
 typedef struct Plan {
     char path[SP_PATH_BYTES];
     int64_t work_us;
+    int fails;
     char method[4][16], child[4][SP_PATH_BYTES];
     int nchildren;
 } Plan;
@@ -648,6 +649,12 @@
     plan_of(w, path)->work_us = ms * SP_MS;
 }
 
+void
+World_Fail(World *w, const char *path, int on)
+{
+    plan_of(w, path)->fails = on;
+}
+
 void
 World_Child(World *w, const char *path, const char *method, const char *child)
 {
@@ -731,9 +738,14 @@
 {
     Call *job = e->call;
 
-    if (job->h && job->run == e->number) {
-        next_child(w, job);
+    if (!job->h || job->run != e->number) {
+        return;
+    }
+    if (plan_of(w, job->path)->fails) {
+        finish_job(w, job, 500, "failed");
+        return;
     }
+    next_child(w, job);
 }
 
 static void
--- a/test/world.h
+++ b/test/world.h
@@ -85,6 +85,8 @@
 
 /* What instances do: time of work and further calls by path. */
 void World_Work(World *w, const char *path, int ms);
+/* World_Fail: instances answer 500 for the path. */
+void World_Fail(World *w, const char *path, int on);
 void World_Child(World *w, const char *path, const char *method,
                  const char *child);
 
