Demo ends with its counts; the commands are clean under sanitizers

Cause: the demo's last line did not count what came back, and make demo did not install what was missing; spcall left its caller unfreed, which the sanitized tests refused. Change: make demo installs, builds and closes with one line of counts; SpCaller_Free.

--- a/Makefile
+++ b/Makefile
@@ -78,7 +78,9 @@
 		$(shell pkg-config --libs $(PKGS))
 	out/fuzz/spfuzz -runs=$(FUZZ_RUNS) -seed=1 -max_len=4096 out/corpus
 
-demo: all
+demo:
+	@.ci/run install
+	@$(MAKE) -s all
 	@demo/demo.sh $(OUT)
 
 # the same mesh under kills, stops, cuts, outages and replacements
--- a/call/call.c
+++ b/call/call.c
@@ -39,6 +39,12 @@
     return c;
 }
 
+void
+SpCaller_Free(SpCaller *c)
+{
+    g_free(c);
+}
+
 static const char *
 contact(Work *w)
 {
--- a/call/call.h
+++ b/call/call.h
@@ -50,6 +50,8 @@
 } SpCallerCall;
 
 SpCaller *SpCaller_New(SpWeb *w, uv_loop_t *loop, const SpCallerOpts *o);
+/* SpCaller_Free: no call of it may be out. */
+void SpCaller_Free(SpCaller *c);
 void SpCaller_Call(SpCaller *c, const SpCallerCall *call);
 
 #endif
--- a/cmd/spcall.c
+++ b/cmd/spcall.c
@@ -65,6 +65,7 @@
         }
         o->contacts[o->ncontacts++] = part[i];
     }
+    g_free(part); /* the strings are contacts now */
 }
 
 int
@@ -80,7 +81,8 @@
         {"version", no_argument, NULL, 'V'},
         {NULL, 0, NULL, 0}};
     SpWebOpts wo = {1 << 20, 65536, 60000, 10};
-    SpCallerOpts o = {.retries = 2, .wait_ms = 50, .obey = 1};
+    static SpCallerOpts o = {.retries = 2, .wait_ms = 50, .obey = 1};
+    SpCaller *caller;
     SpCallerCall call = {.timeout_ms = 5000, .cb = on_result};
     uv_loop_t *loop = uv_default_loop();
     SpWeb *web;
@@ -122,7 +124,9 @@
     o.seed = uv_hrtime();
     web = SpWeb_New(loop, &wo);
     SpWeb_Start(web);
-    SpCaller_Call(SpCaller_New(web, loop, &o), &call);
+    caller = SpCaller_New(web, loop, &o);
+    SpCaller_Call(caller, &call);
     uv_run(loop, UV_RUN_DEFAULT);
+    SpCaller_Free(caller);
     return ended;
 }
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -20,9 +20,14 @@
  "retries": 2, "timeout_ms": 3000, "control": "$CONTROL"}
 END
 echo "demo: sending calls up to four services deep"
-"$OUT/spload" -c "$DIR/load.json"
+"$OUT/spload" -c "$DIR/load.json" >"$DIR/report"
 status=$?
+cat "$DIR/report"
+echo "demo: the instances counted: $(get "$CONTROL" /counts | tail -n 1)"
 echo "demo: stopping"
-last=$(get "$CONTROL" /counts | tail -n 1)
-echo "demo: the instances counted: $last"
+kinds=$(sed -n 's/^refused kind=\([^ ]*\) count=/\1:/p' "$DIR/report" |
+    paste -sd, -)
+stop_all
+sed -n 's/^sent=\([0-9]*\) ended=[0-9]* whole=\([0-9]*\) refused=\([0-9]*\) \(.*\) double.*/demo: sent=\1 whole=\2 refused=\3 ('"${kinds:-none}"') \4/p' \
+    "$DIR/report"
 exit $status
