--- a/test/soak.c
+++ b/test/soak.c
@@ -333,7 +333,7 @@
     if (World_Unit(s->w) < 0.7) {
         f.lose_call = World_Unit(s->w) * 0.1;
         f.lose_reply = World_Unit(s->w) * 0.2;
-        f.double_call = World_Unit(s->w) * 0.2;
+        f.double_call = World_Unit(s->w) * 0.6;
         f.delay = World_Unit(s->w) * 0.2;
         f.delay_us = (int64_t)(World_Unit(s->w) * 2000) * SP_MS;
         f.lose_peer = World_Unit(s->w) * 0.3;
