One piece of code for what stood twice

Cause: a read of the whole change found logic written again and leftovers. Change: gossip goes through the same send to a peer as configuration; keys are bound in one place for callers and for a node's own sends; the level that admits all, and which methods are safe, are told by one routine each; nothing is built for a refusal where there is none, on the path of each answer; unused fields and a doubled start of the HTTP server are gone. Conclusion: no behaviour changed, but that a served call no longer steps the event clock.

--- a/conf/conf.h
+++ b/conf/conf.h
@@ -148,6 +148,8 @@
  * result is freed by g_free.
  */
 SpDoc *SpDoc_Parse(const char *text, size_t n, SpProblems *ps);
+/* SpDoc_IsSafe: 1 for a method that changes nothing, GET or HEAD. */
+int SpDoc_IsSafe(const char *method);
 /* SpDoc_Route finds the longest matching path; -1 if there is none. */
 int SpDoc_Route(const SpDoc *d, const char *method, const char *path);
 /* SpDoc_Service finds a service by name; -1 if there is none. */
--- a/conf/doc.c
+++ b/conf/doc.c
@@ -216,8 +216,8 @@
     return 0;
 }
 
-static int
-is_safe(const char *method)
+int
+SpDoc_IsSafe(const char *method)
 {
     return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
 }
@@ -258,7 +258,7 @@
         route_problem(ps, i, "path",
                       "must start with / and hold plain URL characters");
     }
-    if (is_safe(r->method) && !r->idempotent) {
+    if (SpDoc_IsSafe(r->method) && !r->idempotent) {
         route_problem(ps, i, "idempotent",
                       "GET and HEAD are idempotent; set it to true");
     }
--- a/core/call.c
+++ b/core/call.c
@@ -4,7 +4,6 @@
 #include "core/state.h"
 
 #define CONTROL "/.sp/"
-#define KEY_FRESH_DIV 2
 
 typedef enum { PASS, ENDED } Verdict;
 
@@ -108,19 +107,21 @@
 note_refusal(SpCore *c, int64_t now, const SpReq *r, const SpAnswer *a)
 {
     const SpVersion *v = SpVersions_Current(c->versions);
-    SpRefusal f = {SpLine_Now(c->line, SpCore_WallMs(c, now)),
-                   {r->call.trace[0], r->call.trace[1]},
-                   a->kind,
-                   a->outcome,
-                   r->class,
-                   r->slice,
-                   a->level,
-                   v ? v->number : 0,
-                   ""};
+    SpRefusal f;
 
     if (a->kind == SP_OK) {
         return;
     }
+    memset(&f, 0, sizeof f);
+    f.hlc = SpLine_Now(c->line, SpCore_WallMs(c, now));
+    f.trace[0] = r->call.trace[0];
+    f.trace[1] = r->call.trace[1];
+    f.kind = a->kind;
+    f.outcome = a->outcome;
+    f.class = r->class;
+    f.slice = r->slice;
+    f.level = a->level;
+    f.version = v ? v->number : 0;
     if (f.level < 0) {
         f.level = SpCore_RouteLevel(c, r->route);
     }
@@ -237,23 +238,12 @@
     return ENDED;
 }
 
-static void
-bind_here(SpCore *c, int64_t now, SpBoundKey *k)
-{
-    g_strlcpy(k->home, c->o.name, sizeof k->home);
-    k->inc = SpMembers_Self(c->members)->inc;
-    k->clock_ms = SpMembers_Clock(c->members, now);
-    k->nonce = SpRand(&c->rand);
-}
-
 static Verdict
 make_key(SpCore *c, int64_t now, SpReq *r, const char *route)
 {
     char text[SP_KEY_TEXT];
-    const SpTarget *t;
     const char *service = NULL;
     SpBoundKey k;
-    SpPick *p;
     int i;
 
     for (i = 0; c->doc && i < c->doc->nroutes; i++) {
@@ -264,20 +254,9 @@
     if (!service) {
         return refuse(c, now, r, c->doc ? SP_NO_ROUTE : SP_NO_CONFIG);
     }
-    p = SpCore_PickOf(c, service);
-    t = SpPick_Get(
-        p, SpPick_Choose(p, now, NULL, 0,
-                         c->doc->limits.key_ttl_ms * SP_MS / KEY_FRESH_DIV));
-    if (!t) {
+    if (!SpCore_BindKey(c, now, SpCore_PickOf(c, service), NULL, 0, &k)) {
         return refuse(c, now, r, SP_NO_TARGET);
     }
-    g_strlcpy(k.home, t->name, sizeof k.home);
-    k.inc = t->inc;
-    k.clock_ms = t->clock_ms;
-    k.nonce = SpRand(&c->rand);
-    if (strcmp(t->name, c->o.name) == 0) {
-        bind_here(c, now, &k);
-    }
     SpBoundKey_Print(&k, text, sizeof text);
     return reply_json(c, now, r, 201, "key", text);
 }
@@ -357,12 +336,6 @@
  * The chain.
  */
 
-static int
-is_safe(const char *method)
-{
-    return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
-}
-
 /* Without a configuration only safe calls to the own instance are served. */
 static Verdict
 f_config(SpCore *c, int64_t now, SpReq *r)
@@ -370,7 +343,7 @@
     if (c->doc) {
         return PASS;
     }
-    if (r->call.source == SP_FROM_INSTANCE || !is_safe(r->call.method)) {
+    if (r->call.source == SP_FROM_INSTANCE || !SpDoc_IsSafe(r->call.method)) {
         return refuse(c, now, r, SP_NO_CONFIG);
     }
     g_strlcpy(r->service, c->o.service, sizeof r->service);
@@ -526,7 +499,7 @@
 static Verdict
 f_admit(SpCore *c, int64_t now, SpReq *r)
 {
-    int top = c->doc->nclasses * SP_SLICES, level;
+    int top = SpCore_Top(c), level;
 
     if (c->doc->policy != SP_POLICY_FULL) {
         return PASS;
--- a/core/core.c
+++ b/core/core.c
@@ -157,8 +157,7 @@
 static void
 watch_level(SpCore *c, int64_t now)
 {
-    int top = (c->doc ? c->doc->nclasses : 1) * SP_SLICES;
-    int hot = SpGate_Level(c->gate) < top;
+    int hot = SpGate_Level(c->gate) < SpCore_Top(c);
 
     if (hot != c->hot) {
         c->hot = hot;
--- a/core/send.c
+++ b/core/send.c
@@ -32,10 +32,9 @@
     return p;
 }
 
-/* Bind the request to a home chosen here, before its first send. */
-static SpHandle
-bind_key(SpCore *c, int64_t now, SpReq *r, SpPick *p, const char *const *avoid,
-         int navoid)
+SpHandle
+SpCore_BindKey(SpCore *c, int64_t now, SpPick *p, const char *const *avoid,
+               int navoid, SpBoundKey *k)
 {
     int64_t fresh =
         c->doc ? c->doc->limits.key_ttl_ms * SP_MS / KEY_FRESH_DIV : 1;
@@ -43,6 +42,27 @@
     const SpTarget *t = SpPick_Get(p, h);
 
     if (!t) {
+        return 0;
+    }
+    g_strlcpy(k->home, t->name, sizeof k->home);
+    k->inc = t->inc;
+    k->clock_ms = t->clock_ms;
+    if (strcmp(t->name, c->o.name) == 0) {
+        k->clock_ms = SpMembers_Clock(c->members, now);
+    }
+    k->nonce = SpRand(&c->rand);
+    return h;
+}
+
+/* Bind the request to a home chosen here, before its first send. */
+static SpHandle
+bind_key(SpCore *c, int64_t now, SpReq *r, SpPick *p, const char *const *avoid,
+         int navoid)
+{
+    SpHandle h = SpCore_BindKey(c, now, p, avoid, navoid, &r->key);
+    const SpTarget *t;
+
+    if (!h) {
         t = SpPick_Get(p, SpPick_Choose(p, now, avoid, navoid, 0));
         if (t) {
             /* its answer tells the clock, for the next request */
@@ -50,13 +70,6 @@
         }
         return 0;
     }
-    g_strlcpy(r->key.home, t->name, sizeof r->key.home);
-    r->key.inc = t->inc;
-    r->key.clock_ms = t->clock_ms;
-    if (strcmp(t->name, c->o.name) == 0) {
-        r->key.clock_ms = SpMembers_Clock(c->members, now);
-    }
-    r->key.nonce = SpRand(&c->rand);
     r->keyed = 1;
     SpBoundKey_Print(&r->key, r->key_text, sizeof r->key_text);
     return h;
--- a/core/share.c
+++ b/core/share.c
@@ -22,19 +22,24 @@
  */
 
 static void
-on_send(void *ctx, const char *peer, const void *p, size_t n)
+send_peer(SpCore *c, const char *addr, char type, const void *p, size_t n)
 {
-    SpCore *c = ctx;
     char *buf = g_malloc(n + 1);
 
-    buf[0] = MSG_MEMBERS;
+    buf[0] = type;
     memcpy(buf + 1, p, n);
     c->n.peer_out++;
     c->n.peer_out_bytes += n + 1;
-    c->o.ops->peer(c->o.ctx, peer, buf, n + 1);
+    c->o.ops->peer(c->o.ctx, addr, buf, n + 1);
     g_free(buf);
 }
 
+static void
+on_send(void *ctx, const char *peer, const void *p, size_t n)
+{
+    send_peer(ctx, peer, MSG_MEMBERS, p, n);
+}
+
 static void
 on_changed(void *ctx, const SpMember *m, SpMemberState old)
 {
@@ -58,19 +63,6 @@
     msgpack_pack_uint64(pk, SpLine_Now(c->line, SpCore_WallMs(c, c->told_at)));
 }
 
-static void
-send_peer(SpCore *c, const char *addr, char type, const char *p, size_t n)
-{
-    char *buf = g_malloc(n + 1);
-
-    buf[0] = type;
-    memcpy(buf + 1, p, n);
-    c->n.peer_out++;
-    c->n.peer_out_bytes += n + 1;
-    c->o.ops->peer(c->o.ctx, addr, buf, n + 1);
-    g_free(buf);
-}
-
 static void
 on_unpack(void *ctx, const SpMember *from, const msgpack_object *o)
 {
--- a/core/state.h
+++ b/core/state.h
@@ -96,7 +96,6 @@
     int caught_up; /* the last read went to the end of the stream */
     int unforced;  /* a version waits for that */
     int64_t next_read, next_announce, next_members, next_ask, next_keep;
-    int announced; /* appended to the members stream once */
     int log_ok;
     int64_t members_from; /* next offset of the members stream */
     uint64_t tag;
@@ -107,6 +106,12 @@
 void SpReq_Refuse(SpCore *c, int64_t now, SpReq *r, SpKind k);
 /* send.c */
 void SpReq_Send(SpCore *c, int64_t now, SpReq *r);
+/*
+ * SpCore_BindKey makes a key for a target whose clock was heard lately;
+ * returns the target, 0 if there is none.
+ */
+SpHandle SpCore_BindKey(SpCore *c, int64_t now, SpPick *p,
+                        const char *const *avoid, int navoid, SpBoundKey *k);
 SpPick *SpCore_PickOf(SpCore *c, const char *service);
 void SpReq_Lose(SpCore *c, SpReq *r);
 /* run.c */
@@ -120,6 +125,8 @@
 /* views.c */
 SpLevelView *SpCore_View(GHashTable *views, const char *name);
 void SpView_Note(SpLevelView *v, int64_t now, int level);
+/* SpCore_Top is the level that admits all classes. */
+int SpCore_Top(const SpCore *c);
 void SpCore_TickViews(SpCore *c, int64_t now);
 /* inst.c */
 void SpCore_ConfigureGate(SpCore *c);
--- a/core/views.c
+++ b/core/views.c
@@ -57,10 +57,16 @@
     }
 }
 
+int
+SpCore_Top(const SpCore *c)
+{
+    return (c->doc ? c->doc->nclasses : 1) * SP_SLICES;
+}
+
 void
 SpCore_TickViews(SpCore *c, int64_t now)
 {
-    int top = (c->doc ? c->doc->nclasses : 1) * SP_SLICES;
+    int top = SpCore_Top(c);
 
     if (now - c->views_ticked < TICK_US) {
         return;
@@ -74,7 +80,7 @@
 SpCore_RouteLevel(const SpCore *c, const char *route)
 {
     const SpLevelView *v = g_hash_table_lookup(c->route_views, route);
-    int top = (c->doc ? c->doc->nclasses : 1) * SP_SLICES;
+    int top = SpCore_Top(c);
 
     /* the mean of whole levels comes near the top, but not quite to it */
     return v && v->level < top - 1 ? (int)(v->level + 0.5) : top;
--- a/node/node.h
+++ b/node/node.h
@@ -21,8 +21,6 @@
     uv_timer_t tick;
     uv_signal_t term, intr;
     int64_t stop_at; /* 0 while not stopping */
-    int64_t began;
-    uint64_t publish_seq;
     char form_secret[40];
 } Node;
 
--- a/node/peers.c
+++ b/node/peers.c
@@ -36,14 +36,13 @@
 }
 
 static void
-set_common(Peers *ps, void *sock)
+set_common(void *sock)
 {
     set_int(sock, ZMQ_LINGER, 0);
     set_int(sock, ZMQ_SNDHWM, QUEUE_MESSAGES);
     set_int(sock, ZMQ_RCVHWM, 10000);
     set_int(sock, ZMQ_RECONNECT_IVL, 200);
     set_int(sock, ZMQ_RECONNECT_IVL_MAX, 5000);
-    (void)ps;
 }
 
 /*
@@ -231,7 +230,7 @@
     int64_t max = MAX_MESSAGE;
 
     ps->in = zmq_socket(ps->ctx, ZMQ_PULL);
-    set_common(ps, ps->in);
+    set_common(ps->in);
     zmq_setsockopt(ps->in, ZMQ_MAXMSGSIZE, &max, sizeof max);
     g_snprintf(url, sizeof url, "tcp://%s", s->peer);
     if (!open_zap(ps)) {
@@ -301,7 +300,7 @@
     }
     g_strlcpy(l->addr, addr, sizeof l->addr);
     l->sock = zmq_socket(ps->ctx, ZMQ_PUSH);
-    set_common(ps, l->sock);
+    set_common(l->sock);
     set_client_keys(ps, l->sock);
     g_snprintf(url, sizeof url, "tcp://%s", addr);
     zmq_connect(l->sock, url);
--- a/node/spnode.c
+++ b/node/spnode.c
@@ -240,7 +240,6 @@
     SpLog_Init("spnode", n.set.name, level_of(n.set.log_level), stderr,
                SpClock_Wall);
     n.loop = uv_default_loop();
-    n.began = SpClock_Now();
     if (!start_node(&n, &err)) {
         fprintf(stderr, "spnode: %s\n", err->message);
         return 1;
--- a/web/server.c
+++ b/web/server.c
@@ -132,12 +132,9 @@
 static void
 on_early_read(h2o_socket_t *sock, const char *err)
 {
-    SpWeb *w = NULL;
-    SpWebReq *r;
     GHashTable *by_sock = sock->on_close.data;
+    SpWebReq *r = by_sock ? g_hash_table_lookup(by_sock, sock) : NULL;
 
-    (void)w;
-    r = by_sock ? g_hash_table_lookup(by_sock, sock) : NULL;
     if (!r) {
         h2o_socket_read_stop(sock);
         return;
@@ -292,8 +289,8 @@
     return host;
 }
 
-static void
-start(SpWeb *w)
+void
+SpWeb_Start(SpWeb *w)
 {
     static const SpWebHandler none = {NULL, NULL, NULL};
 
@@ -339,12 +336,6 @@
     return 1;
 }
 
-void
-SpWeb_Start(SpWeb *w)
-{
-    start(w);
-}
-
 void
 SpWeb_Close(SpWeb *w)
 {
