HTTP client: an answer's body ends with a zero byte

Cause: make demo failed in a fresh clone: the load tool reported 611 double runs, the instances none. It split the body of an answer as text, and the body had no end there; what lay behind it in memory was read as further lines. Change: the client puts a zero byte behind each body, for all who read text; test/http.t runs the load tool against the stand-ins' counts. Ruled out: a double run at the instances (their own count was 0), a change of the nodes (the demo failed with the same library that had passed).

--- a/test/http.t
+++ b/test/http.t
@@ -47,6 +47,14 @@
 get "$CONTROL" /counts | tail -n 1
 echo "the library: $("$OUT/spcall" -n "$in" -k reserve POST /lots/reserve \
     2>&1 >/dev/null | sed 's/took_ms.*//')"
+echo "the load tool reads the stand-ins' counts to their end, no further:"
+cat >"$DIR/load.json" <<END
+{"mix": [{"name": "reserve", "class": "critical", "method": "POST",
+  "path": "/lots/reserve", "route": "reserve", "weight": 1,
+  "contacts": ["$in"]}], "steps": [{"seconds": 1, "rate": 50}],
+ "control": "$CONTROL"}
+END
+"$OUT/spload" -c "$DIR/load.json" | grep -o 'double_runs.*'
 echo "the instance dies while it works: the answer is never a short 200"
 kill -9 "$(cat "$DIR/spup.pid")"
 "$OUT/spcall" -r 0 -n "$in" GET /lots/detail 2>&1 | sed 's/took_ms.*//' |
--- a/web/client.c
+++ b/web/client.c
@@ -77,8 +77,9 @@
     }
     f->ended = 1;
     if (f->body) {
-        r.body = (const char *)f->body->data;
         r.body_len = f->body->len;
+        g_byte_array_append(f->body, (const guint8 *)"", 1);
+        r.body = (const char *)f->body->data;
     }
     f->cb(f->data, &r);
     free_fetch(f);
--- a/web/web.h
+++ b/web/web.h
@@ -74,7 +74,7 @@
     int status;
     const SpHeader *headers; /* names in lower case */
     int nheaders;
-    const char *body;
+    const char *body; /* with a zero byte behind it; NULL if none came */
     size_t body_len;
 } SpFetched;
 
