--- a/Makefile
+++ b/Makefile
@@ -13,12 +13,16 @@
 LIBS = -lh2o -luv -lzmq -lssl -lcrypto -lmsgpackc -lm \
 	$(shell pkg-config --libs $(PKGS))
 
-LIBDIRS = base conf core
+LIBDIRS = base conf core flow
 LIBSRC = $(wildcard $(addsuffix /*.c,$(LIBDIRS)))
 LIBOBJ = $(LIBSRC:%.c=$(OUT)/%.o)
 WEBOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard web/*.c call/*.c))
 NODEOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard node/*.c))
-PROGS = $(addprefix $(OUT)/,spnode spctl spcall splog spup spload)
+RELAYOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard relay/*.c platform/*.c \
+	http/*.c))
+RELAYLIBS = -lhttp_parser -luv -lmsgpackc -lm \
+	$(shell pkg-config --libs $(PKGS))
+PROGS = $(addprefix $(OUT)/,sprelay spnode spctl spcall splog spup spload)
 SRC = $(wildcard */*.c)
 HDR = $(wildcard */*.h)
 
@@ -41,6 +45,10 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(OUT)/sprelay: $(RELAYOBJ) $(OUT)/libsp.a
+	@echo ld $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(RELAYLIBS)
+
 $(OUT)/spctl: $(OUT)/cmd/review.o
 $(OUT)/spctl $(OUT)/spcall: $(OUT)/%: $(OUT)/cmd/%.o $(OUT)/libspweb.a \
 		$(OUT)/libsp.a
@@ -104,7 +112,7 @@
 		2>/dev/null || { echo "lint: $$0" >&2; exit 1; }'
 
 clean:
-	rm -rf out out-san run
+	rm -rf out out-san target run
 
 -include $(LIBOBJ:.o=.d) $(WEBOBJ:.o=.d) $(NODEOBJ:.o=.d) \
 	$(wildcard $(OUT)/*/*.d)
--- a/base/base.h
+++ b/base/base.h
@@ -132,6 +132,12 @@
 /* SpTable_Next walks the items: start with *pos = 0, ends with NULL. */
 void *SpTable_Next(const SpTable *t, uint32_t *pos, SpHandle *h);
 
+/* A header of an HTTP message. */
+typedef struct SpHeader {
+    const char *name;
+    const char *value;
+} SpHeader;
+
 /*
  * Strings and numbers.
  */
--- a/core/keys.h
+++ b/core/keys.h
@@ -29,11 +29,6 @@
 void SpBoundKey_Print(const SpBoundKey *k, char *s, size_t n);
 
 /* One answer, whole. */
-typedef struct SpHeader {
-    const char *name;
-    const char *value;
-} SpHeader;
-
 typedef struct SpAnswer {
     SpKind kind;
     int status;
--- /dev/null
+++ b/flow/chooser.c
@@ -0,0 +1,147 @@
+/* Which instance takes the next request, and how often one may retry. */
+#include <math.h>
+#include <string.h>
+
+#include "flow/flow.h"
+
+/* What a run elsewhere costs beside its time: delay and bytes sent. */
+#define FAR_US (25.0 * SP_MS)
+/* What is taken for a run of an instance that has not told any. */
+#define UNKNOWN_RUN_US (30.0 * SP_MS)
+/* Random part of a cost, so that many nodes do not choose alike. */
+#define NOISE 0.1
+#define MAX_FAILS 3
+#define BAD_US (1 * SP_SEC)
+
+static int
+was_tried(const SpUpstream *u, SpUpstream *const *tried, int ntried)
+{
+    int i;
+
+    for (i = 0; i < ntried; i++) {
+        if (tried[i] == u) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static double
+cost_of(const SpUpstream *u)
+{
+    double busy = u->busy + MAX(0, u->mine - u->mine_told) + 1;
+    double limit = MAX(1.0, u->limit), run = u->run_us;
+    double cost, over = busy / limit;
+
+    if (run <= 0) {
+        run = UNKNOWN_RUN_US;
+    }
+    cost = run * (1 + over * over * over);
+    if (busy > limit) {
+        cost += run * (busy - limit) / limit * 2;
+    }
+    return u->near ? cost : cost + FAR_US;
+}
+
+static SpUpstream *
+pick(SpUpstream *const *list, guint n, int64_t now, SpUpstream *const *tried,
+     int ntried, uint64_t *rand, int bad)
+{
+    SpUpstream *best = NULL;
+    double low = 0, cost;
+    guint i;
+
+    for (i = 0; i < n; i++) {
+        SpUpstream *u = list[i];
+        if (!u->ready || was_tried(u, tried, ntried) ||
+            (!bad && u->bad_until > now)) {
+            continue;
+        }
+        cost = cost_of(u) * (1 + NOISE * SpRand_Unit(rand));
+        if (!best || cost < low) {
+            best = u;
+            low = cost;
+        }
+    }
+    return best;
+}
+
+SpUpstream *
+SpChooser_Pick(SpUpstream *const *list, guint n, int64_t now,
+               SpUpstream *const *tried, int ntried, uint64_t *rand)
+{
+    SpUpstream *u = pick(list, n, now, tried, ntried, rand, 0);
+
+    return u ? u : pick(list, n, now, tried, ntried, rand, 1);
+}
+
+void
+SpUpstream_Sent(SpUpstream *u)
+{
+    u->mine++;
+}
+
+void
+SpUpstream_Ended(SpUpstream *u, int64_t now, int ok)
+{
+    u->mine--;
+    u->mine_told = MIN(u->mine_told, u->mine);
+    if (ok) {
+        u->fails = 0;
+        u->bad_until = 0;
+        return;
+    }
+    if (++u->fails >= MAX_FAILS) {
+        u->bad_until = now + BAD_US;
+    }
+}
+
+/*
+ * Retries.
+ */
+
+void
+SpRetryBudget_Init(SpRetryBudget *b, const SpRetryOpts *o)
+{
+    memset(b, 0, sizeof *b);
+    b->o = *o;
+}
+
+static int
+turn_to(SpRetryBudget *b, int64_t now)
+{
+    int64_t cell = now / (b->o.window_us / SP_RETRY_CELLS);
+
+    while (b->cell < cell) {
+        if (cell - b->cell > SP_RETRY_CELLS) {
+            b->cell = cell - SP_RETRY_CELLS;
+        }
+        b->cell++;
+        b->first[b->cell % SP_RETRY_CELLS] = 0;
+        b->again[b->cell % SP_RETRY_CELLS] = 0;
+    }
+    return (int)(cell % SP_RETRY_CELLS);
+}
+
+void
+SpRetryBudget_First(SpRetryBudget *b, int64_t now)
+{
+    b->first[turn_to(b, now)]++;
+}
+
+int
+SpRetryBudget_Take(SpRetryBudget *b, int64_t now)
+{
+    int at = turn_to(b, now), i;
+    double first = 0, again = 0;
+
+    for (i = 0; i < SP_RETRY_CELLS; i++) {
+        first += b->first[i];
+        again += b->again[i];
+    }
+    if (again + 1 > b->o.ratio * first + b->o.slack) {
+        return 0;
+    }
+    b->again[at]++;
+    return 1;
+}
--- /dev/null
+++ b/flow/flow.h
@@ -0,0 +1,164 @@
+/*
+ * flow: decisions on requests as they pass a relay: which route, which part
+ * of a split, which upstream instance, whether to wait or to be turned away,
+ * whether to retry.
+ *
+ * Nothing here reads a clock or opens a socket: times are arguments, in
+ * microseconds of the caller's monotonic clock.
+ */
+#ifndef SP_FLOW_H
+#define SP_FLOW_H
+
+#include "base/base.h"
+
+#define SP_FLOW_NAME 64
+#define SP_MAX_RANKS 8
+
+/*
+ * Routes: the configuration in force.
+ */
+#define SP_MAX_PARTS 8
+
+typedef struct SpPart {
+    char service[SP_FLOW_NAME];
+    double weight;
+    double credit; /* of the smooth weighted turn */
+} SpPart;
+
+typedef struct SpPathRoute {
+    char name[SP_FLOW_NAME];
+    char host[256];
+    char prefix[256]; /* begins and ends with a slash */
+    SpPart parts[SP_MAX_PARTS];
+    int nparts;
+    int idempotent;
+    int attempts; /* upstream instances that one attempt may be sent to */
+    int rank;     /* 0 is shed last */
+    int64_t timeout_us;
+    int64_t aim_us; /* the time within which an answer is worth most */
+} SpPathRoute;
+
+typedef struct SpRouteLimits {
+    int64_t header_bytes, body_bytes;
+    int64_t header_us, idle_us;
+} SpRouteLimits;
+
+/* A configuration; counted references keep it while requests use it. */
+typedef struct SpRoutes {
+    uint64_t version;
+    SpRouteLimits limits;
+    GHashTable *hosts;    /* name to GPtrArray of SpPathRoute, longest first */
+    GHashTable *services; /* name to the connections an instance accepts */
+    char *text;           /* as it was published */
+    size_t text_len;
+    int refs;
+} SpRoutes;
+
+SpRoutes *SpRoutes_New(uint64_t version);
+SpRoutes *SpRoutes_Ref(SpRoutes *rs);
+void SpRoutes_Unref(SpRoutes *rs);
+/* SpRoutes_Add takes a copy of *r. */
+void SpRoutes_Add(SpRoutes *rs, const SpPathRoute *r);
+/* SpRoutes_Find: host may carry a port; NULL if no route matches. */
+SpPathRoute *SpRoutes_Find(const SpRoutes *rs, const char *host,
+                           const char *path);
+guint SpRoutes_Count(const SpRoutes *rs);
+/* SpPathRoute_Part takes the next part in turn, in proportion to weights. */
+const char *SpPathRoute_Part(SpPathRoute *r);
+
+/*
+ * Limiter: the requests that wait for the own instance and run in it. Higher
+ * ranks go first; within a rank, work that others wait for goes before new
+ * work, then first come, first served. A request is turned away at once when
+ * it could not be answered in time.
+ */
+typedef struct SpTurn {
+    GList link; /* data points to the turn */
+    int rank;
+    int64_t arrived;
+    int64_t deadline;
+    int queued;
+    int running;
+    void *user;
+} SpTurn;
+
+typedef enum { SP_TURN_RUN, SP_TURN_WAIT, SP_TURN_REFUSE } SpTurnState;
+
+typedef struct SpLimiter {
+    int slots;    /* as the instance says */
+    double limit; /* requests that may run at a time */
+    int running;
+    int queued;
+    GQueue queue[SP_MAX_RANKS];
+    double run_us;   /* smoothed time of one run */
+    double floor_us; /* run time while few run */
+    int64_t floor_at;
+} SpLimiter;
+
+void SpLimiter_Init(SpLimiter *l);
+void SpLimiter_SetSlots(SpLimiter *l, int slots);
+/* SpLimiter_Offer: on SP_TURN_RUN it counts as running. */
+SpTurnState SpLimiter_Offer(SpLimiter *l, int64_t now, SpTurn *t);
+/* SpLimiter_Next takes the next to run; NULL if none may. */
+SpTurn *SpLimiter_Next(SpLimiter *l);
+/* SpLimiter_Late takes a waiting one that can no longer be in time. */
+SpTurn *SpLimiter_Late(SpLimiter *l, int64_t now);
+/* SpLimiter_End ends a turn, queued or running; ran_us < 0: no sample. */
+void SpLimiter_End(SpLimiter *l, int64_t now, SpTurn *t, int64_t ran_us);
+/* SpLimiter_Wait is the time a new request of a rank would wait. */
+int64_t SpLimiter_Wait(const SpLimiter *l, int rank);
+
+/*
+ * Chooser: which instance of a service takes the next request.
+ */
+typedef struct SpUpstream {
+    char name[SP_FLOW_NAME]; /* of the node beside it */
+    int near;                /* 1: in the own zone */
+    int ready;
+    double limit;  /* requests that it runs at a time */
+    int busy;      /* running and waiting there, as last told */
+    int mine;      /* sent from here and not answered */
+    int mine_told; /* mine when busy was told */
+    double run_us; /* smoothed, as last told */
+    int fails;     /* in a row */
+    int64_t bad_until;
+    int64_t told_at;
+    void *user;
+} SpUpstream;
+
+/*
+ * SpChooser_Pick takes the cheapest of n; NULL if none is ready. tried lists
+ * those that this request was already sent to.
+ */
+SpUpstream *SpChooser_Pick(SpUpstream *const *list, guint n, int64_t now,
+                           SpUpstream *const *tried, int ntried,
+                           uint64_t *rand);
+void SpUpstream_Sent(SpUpstream *u);
+/* SpUpstream_Ended: ok 0 counts a failure against it. */
+void SpUpstream_Ended(SpUpstream *u, int64_t now, int ok);
+
+/*
+ * Retries: a share of what this node sends for the first time, over a
+ * sliding window, for each service.
+ */
+typedef struct SpRetryOpts {
+    double ratio; /* retries to first sends */
+    double slack; /* retries of one window beyond the ratio */
+    int64_t window_us;
+} SpRetryOpts;
+
+#define SP_RETRY_CELLS 10
+
+typedef struct SpRetryBudget {
+    SpRetryOpts o;
+    int64_t cell; /* number of the newest cell */
+    uint32_t first[SP_RETRY_CELLS];
+    uint32_t again[SP_RETRY_CELLS];
+} SpRetryBudget;
+
+void SpRetryBudget_Init(SpRetryBudget *b, const SpRetryOpts *o);
+void SpRetryBudget_First(SpRetryBudget *b, int64_t now);
+/* SpRetryBudget_Take returns 1 and counts it if one more retry fits. */
+int SpRetryBudget_Take(SpRetryBudget *b, int64_t now);
+
+#endif
--- /dev/null
+++ b/flow/limiter.c
@@ -0,0 +1,145 @@
+/* Who runs in the own instance, who waits, who is turned away. */
+#include <string.h>
+
+#include "flow/flow.h"
+
+/* Weight of one run in the smoothed time. */
+#define RUN_WEIGHT 0.05
+/* What is taken for a run before the first one has ended. */
+#define FIRST_RUN_US (30.0 * SP_MS)
+/* An instance slows down when its last slots are in use. */
+#define FULL_SHARE 0.93
+/* Share of the time left that may go by in the queue. */
+#define WAIT_SHARE 0.6
+
+void
+SpLimiter_Init(SpLimiter *l)
+{
+    int i;
+
+    memset(l, 0, sizeof *l);
+    l->run_us = FIRST_RUN_US;
+    l->limit = 1;
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        g_queue_init(&l->queue[i]);
+    }
+}
+
+void
+SpLimiter_SetSlots(SpLimiter *l, int slots)
+{
+    l->slots = slots;
+    l->limit = MAX(1.0, (double)slots * FULL_SHARE);
+}
+
+int64_t
+SpLimiter_Wait(const SpLimiter *l, int rank)
+{
+    int i, ahead = 0;
+
+    if (l->running + l->queued < (int)l->limit) {
+        return 0;
+    }
+    for (i = 0; i <= rank && i < SP_MAX_RANKS; i++) {
+        ahead += (int)l->queue[i].length;
+    }
+    return (int64_t)((ahead + 1) * l->run_us / l->limit);
+}
+
+static int
+clamp_rank(int rank)
+{
+    return CLAMP(rank, 0, SP_MAX_RANKS - 1);
+}
+
+SpTurnState
+SpLimiter_Offer(SpLimiter *l, int64_t now, SpTurn *t)
+{
+    int64_t left = t->deadline - now;
+
+    t->rank = clamp_rank(t->rank);
+    t->arrived = now;
+    if (left <= 0) {
+        return SP_TURN_REFUSE;
+    }
+    if (l->queued == 0 && l->running < (int)l->limit) {
+        l->running++;
+        t->running = 1;
+        return SP_TURN_RUN;
+    }
+    if ((double)SpLimiter_Wait(l, t->rank) > WAIT_SHARE * (double)left) {
+        return SP_TURN_REFUSE;
+    }
+    t->link.data = t;
+    t->link.next = t->link.prev = NULL;
+    g_queue_push_tail_link(&l->queue[t->rank], &t->link);
+    t->queued = 1;
+    l->queued++;
+    return SP_TURN_WAIT;
+}
+
+static void
+unqueue(SpLimiter *l, SpTurn *t)
+{
+    g_queue_unlink(&l->queue[t->rank], &t->link);
+    t->queued = 0;
+    l->queued--;
+}
+
+SpTurn *
+SpLimiter_Next(SpLimiter *l)
+{
+    SpTurn *t;
+    int i;
+
+    if (l->running >= (int)l->limit) {
+        return NULL;
+    }
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        if (l->queue[i].head) {
+            t = l->queue[i].head->data;
+            unqueue(l, t);
+            l->running++;
+            t->running = 1;
+            return t;
+        }
+    }
+    return NULL;
+}
+
+SpTurn *
+SpLimiter_Late(SpLimiter *l, int64_t now)
+{
+    int64_t need = (int64_t)(l->run_us / 2);
+    GList *k;
+    int i;
+
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        for (k = l->queue[i].head; k; k = k->next) {
+            SpTurn *t = k->data;
+            if (t->deadline - now < need) {
+                unqueue(l, t);
+                return t;
+            }
+        }
+    }
+    return NULL;
+}
+
+void
+SpLimiter_End(SpLimiter *l, int64_t now, SpTurn *t, int64_t ran_us)
+{
+    (void)now;
+    if (t->queued) {
+        unqueue(l, t);
+        return;
+    }
+    if (!t->running) {
+        return;
+    }
+    t->running = 0;
+    l->running--;
+    if (ran_us >= 0) {
+        l->run_us += RUN_WEIGHT * ((double)ran_us - l->run_us);
+    }
+}
--- /dev/null
+++ b/http/pool.c
@@ -0,0 +1,388 @@
+/* The client: kept connections to one address, one request on each. */
+#include <string.h>
+#include <sys/socket.h>
+
+#include "http/priv.h"
+
+#define MAX_HEAD_BYTES ((size_t)64 << 10)
+/* A connection that rested longer is asked whether its peer has left. */
+#define PEEK_US (20 * SP_MS)
+/* The peer's own idle bound is undercut by this. */
+#define KEEP_SLACK_US (1 * SP_SEC)
+
+typedef struct PoolConn {
+    uv_tcp_t tcp;
+    uv_connect_t conn;
+    SpPool *p;
+    SpReader r;
+    SpExchange *x;
+    int64_t since; /* the connect, or the start of the rest */
+    int64_t keep_us;
+    int up;
+    int resting; /* it is in the pool's list */
+    int spoilt;  /* serves no further request */
+    int gone;
+} PoolConn;
+
+struct SpExchange {
+    PoolConn *c;
+    char *out; /* until it is sent */
+    size_t out_len;
+    int sent;
+    int is_head;
+    int (*is_mine)(void *data, const SpMsg *m);
+    SpPoolDone done;
+    void *data;
+    SpMsg *answer;
+    const char *why;
+};
+
+struct SpPool {
+    uv_loop_t *loop;
+    SpPoolOpts o;
+    struct sockaddr_in sa;
+    GPtrArray *conns;
+    GQueue rest; /* of PoolConn, the latest used first */
+    uint64_t opened;
+};
+
+static void
+on_closed(uv_handle_t *h)
+{
+    PoolConn *c = h->data;
+
+    SpReader_Clear(&c->r);
+    g_free(c);
+}
+
+static void
+close_conn(PoolConn *c)
+{
+    if (c->gone) {
+        return;
+    }
+    c->gone = 1;
+    if (c->resting) {
+        g_queue_remove(&c->p->rest, c);
+    }
+    g_ptr_array_remove_fast(c->p->conns, c);
+    uv_close((uv_handle_t *)&c->tcp, on_closed);
+}
+
+static void
+free_exchange(SpExchange *x)
+{
+    SpMsg_Free(x->answer);
+    g_free(x->out);
+    g_free(x);
+}
+
+static void
+finish(SpExchange *x, SpPoolEnd end, const char *why)
+{
+    if (x->c) {
+        x->c->x = NULL;
+    }
+    x->done(x->data, end, end == SP_POOL_OK ? x->answer : NULL, why);
+    free_exchange(x);
+}
+
+/* The connection is of no use any more. */
+static void
+fail(PoolConn *c, const char *why)
+{
+    SpExchange *x = c->x;
+
+    c->x = NULL;
+    close_conn(c);
+    if (x) {
+        x->c = NULL;
+        finish(x, x->sent ? SP_POOL_LOST : SP_POOL_UNSENT, why);
+    }
+}
+
+static int
+take_answer(void *ctx, SpMsg *m)
+{
+    PoolConn *c = ctx;
+    SpExchange *x = c->x;
+
+    if (!x || x->answer) {
+        c->spoilt = 1; /* nobody asked for it */
+        SpMsg_Free(m);
+        return 1;
+    }
+    if (x->is_mine && !x->is_mine(x->data, m)) {
+        c->spoilt = 1;
+        SpMsg_Free(m);
+        return 0;
+    }
+    x->answer = m;
+    return 1;
+}
+
+static void
+rest(PoolConn *c)
+{
+    c->since = SpHttp_Now();
+    c->resting = 1;
+    g_queue_push_head(&c->p->rest, c);
+}
+
+static void
+set_keep(PoolConn *c, const SpMsg *m)
+{
+    const char *s = SpMsg_Header(m, "keep-alive");
+    const char *t = s ? strstr(s, "timeout=") : NULL;
+    int64_t v = t ? g_ascii_strtoll(t + strlen("timeout="), NULL, 10) : 0;
+
+    c->keep_us = c->p->o.idle_us;
+    if (v > 0) {
+        c->keep_us = MIN(c->keep_us, v * SP_SEC - KEEP_SLACK_US);
+    }
+}
+
+static void
+end_answer(PoolConn *c, int more)
+{
+    SpExchange *x = c->x;
+    int unsent = uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp) > 0;
+
+    set_keep(c, x->answer);
+    /* bytes behind an answer belong to no request; an answer that came
+       before the whole request was sent leaves its rest to be read */
+    if (!x->answer->keep || c->spoilt || more || unsent || c->keep_us <= 0) {
+        x->c = NULL;
+        c->x = NULL;
+        close_conn(c);
+    }
+    else {
+        c->x = NULL;
+        x->c = NULL;
+        rest(c);
+    }
+    finish(x, SP_POOL_OK, "");
+}
+
+static void
+on_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf)
+{
+    PoolConn *c = st->data;
+    size_t taken;
+
+    if (n == 0) {
+        return;
+    }
+    if (n < 0) {
+        if (n == UV_EOF && c->x && SpReader_End(&c->r) && c->x->answer) {
+            c->spoilt = 1;
+            end_answer(c, 0);
+            return;
+        }
+        fail(c, n == UV_EOF ? "closed" : "reset");
+        return;
+    }
+    if (!c->x) {
+        close_conn(c); /* bytes that nobody asked for */
+        return;
+    }
+    c->r.skip_body = c->x->is_head;
+    taken = SpReader_Feed(&c->r, buf->base, (size_t)n);
+    if (c->x->answer) {
+        end_answer(c, taken < (size_t)n || c->r.msg != NULL);
+        return;
+    }
+    if (c->r.state != SP_READ_FINE) {
+        fail(c, "not-http");
+    }
+}
+
+static void
+transmit(PoolConn *c)
+{
+    SpExchange *x = c->x;
+    ssize_t n;
+    char *p = x->out;
+
+    x->out = NULL;
+    n = SpHttp_Write((uv_stream_t *)&c->tcp, p, x->out_len);
+    x->sent = n >= 0;
+    if (n < 0) {
+        x->why = "write";
+        /* the read side reports it; an exchange never ends within a send */
+        c->spoilt = 1;
+    }
+}
+
+static void
+on_connect(uv_connect_t *req, int status)
+{
+    PoolConn *c = req->handle->data;
+
+    if (c->gone) {
+        return;
+    }
+    if (status < 0) {
+        fail(c, "connect");
+        return;
+    }
+    c->up = 1;
+    uv_tcp_nodelay(&c->tcp, 1);
+    uv_read_start((uv_stream_t *)&c->tcp, SpHttp_Alloc, on_read);
+    if (c->x) {
+        transmit(c);
+        if (!c->x->sent) {
+            fail(c, "write");
+        }
+    }
+    else {
+        rest(c);
+    }
+}
+
+static PoolConn *
+open_conn(SpPool *p)
+{
+    PoolConn *c = g_new0(PoolConn, 1);
+
+    c->p = p;
+    uv_tcp_init(p->loop, &c->tcp);
+    c->tcp.data = c;
+    SpReader_Init(&c->r, HTTP_RESPONSE);
+    c->r.done = take_answer;
+    c->r.ctx = c;
+    c->r.max_head = MAX_HEAD_BYTES;
+    c->r.max_body = p->o.body_bytes;
+    c->since = SpHttp_Now();
+    g_ptr_array_add(p->conns, c);
+    p->opened++;
+    return c;
+}
+
+static int
+has_left(PoolConn *c)
+{
+    uv_os_fd_t fd;
+    char b;
+    ssize_t n;
+
+    if (SpHttp_Now() - c->since < PEEK_US) {
+        return 0;
+    }
+    if (uv_fileno((uv_handle_t *)&c->tcp, &fd) != 0) {
+        return 1;
+    }
+    n = recv(fd, &b, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+static PoolConn *
+take_rested(SpPool *p)
+{
+    PoolConn *c;
+
+    while ((c = g_queue_pop_head(&p->rest)) != NULL) {
+        c->resting = 0;
+        if (SpHttp_Now() - c->since < c->keep_us && !has_left(c)) {
+            return c;
+        }
+        close_conn(c);
+    }
+    return NULL;
+}
+
+SpExchange *
+SpPool_Send(SpPool *p, const SpPoolSend *o)
+{
+    SpExchange *x = g_new0(SpExchange, 1);
+    PoolConn *c;
+
+    x->is_head = o->is_head;
+    x->is_mine = o->is_mine;
+    x->done = o->done;
+    x->data = o->data;
+    x->out_len = o->head_len + o->body_len;
+    x->out = g_malloc(x->out_len);
+    memcpy(x->out, o->head, o->head_len);
+    if (o->body_len) {
+        memcpy(x->out + o->head_len, o->body, o->body_len);
+    }
+    c = take_rested(p);
+    if (c) {
+        c->x = x;
+        x->c = c;
+        c->since = SpHttp_Now();
+        transmit(c);
+        return x;
+    }
+    c = open_conn(p);
+    c->x = x;
+    x->c = c;
+    if (uv_tcp_connect(&c->conn, &c->tcp, (const struct sockaddr *)&p->sa,
+                       on_connect) != 0) {
+        c->since = 0; /* the next tick reports it */
+    }
+    return x;
+}
+
+void
+SpExchange_Abort(SpExchange *x)
+{
+    if (x->c) {
+        x->c->x = NULL;
+        close_conn(x->c);
+    }
+    free_exchange(x);
+}
+
+void
+SpPool_Tick(SpPool *p, int64_t now)
+{
+    guint i;
+
+    for (i = p->conns->len; i > 0; i--) {
+        PoolConn *c = g_ptr_array_index(p->conns, i - 1);
+        if (!c->up && now - c->since > p->o.connect_us) {
+            fail(c, "connect-timeout");
+        }
+        else if (c->x && c->spoilt && c->x->why) {
+            fail(c, c->x->why);
+        }
+        else if (c->resting && now - c->since > c->keep_us) {
+            close_conn(c);
+        }
+        i = MIN(i, p->conns->len + 1); /* an end may have closed others */
+    }
+}
+
+void
+SpPool_Flush(SpPool *p)
+{
+    PoolConn *c;
+
+    while ((c = g_queue_pop_head(&p->rest)) != NULL) {
+        c->resting = 0;
+        close_conn(c);
+    }
+}
+
+uint64_t
+SpPool_Opened(const SpPool *p)
+{
+    return p->opened;
+}
+
+SpPool *
+SpPool_New(uv_loop_t *loop, const SpPoolOpts *o)
+{
+    SpPool *p = g_new0(SpPool, 1);
+
+    p->loop = loop;
+    p->o = *o;
+    p->conns = g_ptr_array_new();
+    g_queue_init(&p->rest);
+    if (!SpHttp_Addr(o->addr, &p->sa)) {
+        SpLog(SP_LOG_ERROR, "bad-address", "addr=%s", o->addr);
+    }
+    return p;
+}
--- /dev/null
+++ b/http/priv.h
@@ -0,0 +1,52 @@
+/* http: what its files share. */
+#ifndef SP_HTTP_PRIV_H
+#define SP_HTTP_PRIV_H
+
+#include <http_parser.h>
+
+#include "http/http.h"
+
+#define SP_HTTP_READ_BYTES 65536
+
+typedef enum {
+    SP_READ_FINE,
+    SP_READ_BAD,
+    SP_READ_LONG_HEAD,
+    SP_READ_LONG_BODY
+} SpReadState;
+
+/* Reads messages from the bytes of one connection. */
+typedef struct SpReader {
+    http_parser p;
+    SpMsg *msg; /* the one being read; NULL between messages */
+    GString *field, *value, *target;
+    GArray *headers; /* of SpHeader */
+    int in_value;
+    int skip_body;
+    size_t head_bytes, max_head, max_body;
+    SpReadState state;
+    /* takes each whole message and owns it from then on; returns 1 to stop
+       reading behind it */
+    int (*done)(void *ctx, SpMsg *m);
+    void *ctx;
+} SpReader;
+
+void SpReader_Init(SpReader *r, enum http_parser_type type);
+void SpReader_Clear(SpReader *r);
+/* SpReader_Feed returns the bytes taken; all of them unless it stopped. */
+size_t SpReader_Feed(SpReader *r, const char *p, size_t n);
+/* SpReader_End tells the regular end of the connection; 0 if it came within
+   a message. */
+int SpReader_End(SpReader *r);
+
+/* One buffer for all reads of a loop: what is read is copied at once. */
+void SpHttp_Alloc(uv_handle_t *h, size_t hint, uv_buf_t *buf);
+
+/*
+ * SpHttp_Write sends and frees p (from g_malloc): at once as far as the
+ * socket takes it, the rest later. Returns the bytes sent at once, or a
+ * negative error when none was.
+ */
+ssize_t SpHttp_Write(uv_stream_t *s, char *p, size_t n);
+
+#endif
--- /dev/null
+++ b/http/reader.c
@@ -0,0 +1,345 @@
+/* Reading of messages; the server and the client share it. */
+#include <string.h>
+#include <strings.h>
+
+#include "http/priv.h"
+
+static SpReader *
+reader_of(http_parser *p)
+{
+    return p->data;
+}
+
+void
+SpMsg_Free(SpMsg *m)
+{
+    if (m) {
+        g_free(m->body);
+        SpArena_Free(m->arena);
+    }
+}
+
+const char *
+SpMsg_Header(const SpMsg *m, const char *name)
+{
+    int i;
+
+    for (i = 0; i < m->nheaders; i++) {
+        if (strcasecmp(m->headers[i].name, name) == 0) {
+            return m->headers[i].value;
+        }
+    }
+    return NULL;
+}
+
+static int
+on_begin(http_parser *p)
+{
+    SpReader *r = reader_of(p);
+    SpArena *a = SpArena_New();
+
+    r->msg = SpArena_Alloc(a, sizeof *r->msg);
+    r->msg->arena = a;
+    r->head_bytes = 0;
+    r->in_value = 0;
+    g_array_set_size(r->headers, 0);
+    g_string_truncate(r->field, 0);
+    g_string_truncate(r->value, 0);
+    g_string_truncate(r->target, 0);
+    return 0;
+}
+
+static int
+grow_head(SpReader *r, size_t n)
+{
+    r->head_bytes += n;
+    if (r->head_bytes > r->max_head) {
+        r->state = SP_READ_LONG_HEAD;
+        return 1;
+    }
+    return 0;
+}
+
+static int
+on_url(http_parser *p, const char *s, size_t n)
+{
+    SpReader *r = reader_of(p);
+
+    g_string_append_len(r->target, s, (gssize)n);
+    return grow_head(r, n);
+}
+
+static void
+end_header(SpReader *r)
+{
+    SpHeader h;
+
+    if (!r->in_value) {
+        return;
+    }
+    h.name = SpArena_Dup(r->msg->arena, r->field->str, r->field->len);
+    h.value = SpArena_Dup(r->msg->arena, r->value->str, r->value->len);
+    g_array_append_val(r->headers, h);
+    g_string_truncate(r->field, 0);
+    g_string_truncate(r->value, 0);
+    r->in_value = 0;
+}
+
+static int
+on_field(http_parser *p, const char *s, size_t n)
+{
+    SpReader *r = reader_of(p);
+
+    end_header(r);
+    g_string_append_len(r->field, s, (gssize)n);
+    return grow_head(r, n);
+}
+
+static int
+on_value(http_parser *p, const char *s, size_t n)
+{
+    SpReader *r = reader_of(p);
+
+    r->in_value = 1;
+    g_string_append_len(r->value, s, (gssize)n);
+    return grow_head(r, n);
+}
+
+static int
+on_head(http_parser *p)
+{
+    SpReader *r = reader_of(p);
+    SpMsg *m = r->msg;
+    size_t bytes;
+    SpHeader *list;
+
+    end_header(r);
+    bytes = r->headers->len * sizeof(SpHeader);
+    list = SpArena_Alloc(m->arena, bytes + 1);
+    memcpy(list, r->headers->data, bytes);
+    m->headers = list;
+    m->nheaders = (int)r->headers->len;
+    m->target = SpArena_Dup(m->arena, r->target->str, r->target->len);
+    m->status = p->status_code;
+    if (p->type == HTTP_REQUEST) {
+        m->method = http_method_str((enum http_method)p->method);
+    }
+    /* a request that asks for another protocol is served as it stands */
+    p->upgrade = 0;
+    if (p->content_length != ULLONG_MAX && p->content_length > r->max_body) {
+        r->state = SP_READ_LONG_BODY;
+        return -1;
+    }
+    return r->skip_body ? 1 : 0;
+}
+
+/* The room of a body doubles: the least power of two that holds n bytes. */
+static size_t
+room_for(size_t n)
+{
+    size_t room = 256;
+
+    while (room < n) {
+        room *= 2;
+    }
+    return room;
+}
+
+static int
+on_body(http_parser *p, const char *s, size_t n)
+{
+    SpReader *r = reader_of(p);
+    SpMsg *m = r->msg;
+    size_t all = m->body_len + n;
+
+    if (all > r->max_body) {
+        r->state = SP_READ_LONG_BODY;
+        return 1;
+    }
+    if (!m->body || all > room_for(m->body_len)) {
+        m->body = g_realloc(m->body, room_for(all));
+    }
+    memcpy(m->body + m->body_len, s, n);
+    m->body_len = all;
+    return 0;
+}
+
+static int
+on_complete(http_parser *p)
+{
+    SpReader *r = reader_of(p);
+    SpMsg *m = r->msg;
+
+    r->msg = NULL;
+    if (p->type == HTTP_RESPONSE && m->status / 100 == 1) {
+        SpMsg_Free(m); /* the final answer follows */
+        return 0;
+    }
+    m->keep = http_should_keep_alive(p);
+    if (r->done(r->ctx, m)) {
+        http_parser_pause(p, 1);
+    }
+    return 0;
+}
+
+static const http_parser_settings callbacks = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+void
+SpReader_Init(SpReader *r, enum http_parser_type type)
+{
+    memset(r, 0, sizeof *r);
+    http_parser_init(&r->p, type);
+    r->p.data = r;
+    r->field = g_string_new(NULL);
+    r->value = g_string_new(NULL);
+    r->target = g_string_new(NULL);
+    r->headers = g_array_new(FALSE, FALSE, sizeof(SpHeader));
+}
+
+void
+SpReader_Clear(SpReader *r)
+{
+    SpMsg_Free(r->msg);
+    r->msg = NULL;
+    g_string_free(r->field, TRUE);
+    g_string_free(r->value, TRUE);
+    g_string_free(r->target, TRUE);
+    g_array_free(r->headers, TRUE);
+}
+
+size_t
+SpReader_Feed(SpReader *r, const char *p, size_t n)
+{
+    size_t taken = http_parser_execute(&r->p, &callbacks, p, n);
+    enum http_errno e = HTTP_PARSER_ERRNO(&r->p);
+
+    if (e == HPE_PAUSED) {
+        http_parser_pause(&r->p, 0);
+    }
+    else if (e != HPE_OK && r->state == SP_READ_FINE) {
+        r->state = e == HPE_HEADER_OVERFLOW ? SP_READ_LONG_HEAD : SP_READ_BAD;
+    }
+    return taken;
+}
+
+int
+SpReader_End(SpReader *r)
+{
+    http_parser_execute(&r->p, &callbacks, NULL, 0);
+    return HTTP_PARSER_ERRNO(&r->p) == HPE_OK && !r->msg;
+}
+
+/*
+ * Small parts that both sides need.
+ */
+
+void
+SpHttp_Alloc(uv_handle_t *h, size_t hint, uv_buf_t *buf)
+{
+    static char room[SP_HTTP_READ_BYTES];
+
+    (void)h;
+    (void)hint;
+    *buf = uv_buf_init(room, sizeof room);
+}
+
+typedef struct Write {
+    uv_write_t req;
+    char *p;
+} Write;
+
+static void
+on_written(uv_write_t *req, int status)
+{
+    Write *w = (Write *)req;
+
+    (void)status; /* the reading side learns that the connection broke */
+    g_free(w->p);
+    g_free(w);
+}
+
+ssize_t
+SpHttp_Write(uv_stream_t *s, char *p, size_t n)
+{
+    uv_buf_t buf = uv_buf_init(p, (unsigned)n);
+    ssize_t sent = 0;
+    Write *w;
+    int e;
+
+    if (uv_stream_get_write_queue_size(s) == 0) {
+        sent = uv_try_write(s, &buf, 1);
+        if (sent < 0 && sent != UV_EAGAIN) {
+            g_free(p);
+            return sent;
+        }
+        sent = MAX(sent, 0);
+    }
+    if ((size_t)sent == n) {
+        g_free(p);
+        return sent;
+    }
+    w = g_new(Write, 1);
+    w->p = p;
+    buf = uv_buf_init(p + sent, (unsigned)(n - (size_t)sent));
+    e = uv_write(&w->req, s, &buf, 1, on_written);
+    if (e < 0) {
+        g_free(p);
+        g_free(w);
+        return sent ? sent : e;
+    }
+    return sent;
+}
+
+int64_t
+SpHttp_Now(void)
+{
+    return (int64_t)(uv_hrtime() / 1000);
+}
+
+int
+SpHttp_Addr(const char *s, struct sockaddr_in *sa)
+{
+    char ip[64];
+    int port;
+
+    return SpParse_Addr(s, ip, sizeof ip, &port) &&
+           uv_ip4_addr(ip, port, sa) == 0;
+}
+
+const char *
+SpHttp_Reason(int status)
+{
+    switch (status) {
+#define REASON(num, name, text)                                               \
+    case num:                                                                 \
+        return #text;
+        HTTP_STATUS_MAP(REASON)
+#undef REASON
+    default:
+        return "Status";
+    }
+}
+
+int
+SpHttp_IsHop(const char *name)
+{
+    static const char *const names[] = {
+        "connection", "keep-alive", "proxy-connection",  "te",
+        "trailer",    "upgrade",    "transfer-encoding", "content-length"};
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (strcasecmp(name, names[i]) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/http/server.c
@@ -0,0 +1,436 @@
+/* The server: connections, and answers in the order of the requests. */
+#include <string.h>
+
+#include "http/priv.h"
+
+/* Requests of one connection that may be open at a time. */
+#define MAX_PIPELINE 64
+/* A connection that was closed by us waits this long for its client. */
+#define LINGER_US (1 * SP_SEC)
+#define BACKLOG 1024
+/* A client that leaves this much unread gets no further request served. */
+#define MAX_UNREAD_BYTES ((size_t)1 << 20)
+
+typedef struct Listener {
+    uv_tcp_t tcp;
+    SpHttp *s;
+    SpHttpHandler h;
+} Listener;
+
+typedef struct Conn {
+    uv_tcp_t tcp;
+    uv_shutdown_t shut;
+    SpHttp *s;
+    Listener *l;
+    SpReader r;
+    GQueue reqs;   /* of SpHttpReq, oldest first */
+    int64_t since; /* when it became idle, or its head began */
+    int partial;   /* a head has begun */
+    int closing;   /* no further request is taken */
+    int closed;    /* the write side is shut, or the handle is closing */
+    int lost;      /* the client has left */
+    int paused;    /* reading waits */
+    int64_t shut_at;
+} Conn;
+
+struct SpHttpReq {
+    Conn *c;
+    SpMsg *msg;
+    void *data;
+    int answered;
+    char *out;
+    size_t out_len;
+};
+
+struct SpHttp {
+    uv_loop_t *loop;
+    SpHttpLimits lim;
+    GPtrArray *conns; /* of Conn */
+    int draining;
+};
+
+static void pump(Conn *c);
+
+static void
+free_req(SpHttpReq *r)
+{
+    SpMsg_Free(r->msg);
+    g_free(r->out);
+    g_free(r);
+}
+
+static void
+on_closed(uv_handle_t *h)
+{
+    Conn *c = h->data;
+
+    SpReader_Clear(&c->r);
+    g_free(c);
+}
+
+static void
+drop_conn(Conn *c)
+{
+    SpHttpReq *r;
+
+    if (c->lost) {
+        return;
+    }
+    c->lost = c->closing = c->closed = 1;
+    while ((r = g_queue_pop_head(&c->reqs)) != NULL) {
+        if (!r->answered) {
+            c->l->h.gone(c->l->h.ctx, r);
+        }
+        free_req(r);
+    }
+    g_ptr_array_remove_fast(c->s->conns, c);
+    uv_close((uv_handle_t *)&c->tcp, on_closed);
+}
+
+static void
+on_shut(uv_shutdown_t *req, int status)
+{
+    (void)req;
+    (void)status; /* a client that is gone ends the connection by itself */
+}
+
+/* Ends the write side behind the last answer; the client closes then. */
+static void
+shut_conn(Conn *c)
+{
+    if (c->closed) {
+        return;
+    }
+    c->closed = 1;
+    c->shut_at = SpHttp_Now();
+    if (uv_shutdown(&c->shut, (uv_stream_t *)&c->tcp, on_shut) != 0) {
+        drop_conn(c);
+    }
+}
+
+static void on_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf);
+
+static void
+resume(Conn *c)
+{
+    if (c->paused && !c->lost && c->reqs.length < MAX_PIPELINE &&
+        uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp) <
+            MAX_UNREAD_BYTES) {
+        c->paused = 0;
+        uv_read_start((uv_stream_t *)&c->tcp, SpHttp_Alloc, on_read);
+    }
+}
+
+/* Sends the answers that are due by their order, in one write. */
+static void
+pump(Conn *c)
+{
+    GString *out = NULL;
+    SpHttpReq *r;
+    size_t n;
+
+    if (c->lost) {
+        return;
+    }
+    while ((r = g_queue_peek_head(&c->reqs)) != NULL && r->answered) {
+        g_queue_pop_head(&c->reqs);
+        if (!out) {
+            out = g_string_sized_new(r->out_len + 1);
+        }
+        g_string_append_len(out, r->out, (gssize)r->out_len);
+        free_req(r);
+    }
+    if (out) {
+        n = out->len;
+        if (SpHttp_Write((uv_stream_t *)&c->tcp, g_string_free(out, FALSE),
+                         n) < 0) {
+            drop_conn(c);
+            return;
+        }
+        c->since = SpHttp_Now();
+    }
+    if (c->closing && g_queue_is_empty(&c->reqs)) {
+        shut_conn(c);
+        return;
+    }
+    resume(c);
+}
+
+static void
+append_answer(SpHttpReq *r, int status, const char *lines, const char *body,
+              size_t n, int close)
+{
+    GString *s = g_string_sized_new(256 + n);
+    int bare = status == 204 || status == 304 || status / 100 == 1;
+
+    g_string_append_printf(s, "HTTP/1.1 %d %s\r\n%s", status,
+                           SpHttp_Reason(status), lines);
+    if (!bare) {
+        g_string_append_printf(s, "Content-Length: %zu\r\n", n);
+    }
+    g_string_append(s, close ? "Connection: close\r\n\r\n" : "\r\n");
+    if (n && !bare && !(r->msg && strcmp(r->msg->method, "HEAD") == 0)) {
+        g_string_append_len(s, body, (gssize)n);
+    }
+    r->out_len = s->len;
+    r->out = g_string_free(s, FALSE);
+    r->answered = 1;
+}
+
+void
+SpHttp_Answer(SpHttpReq *r, int status, const char *lines, const char *body,
+              size_t n)
+{
+    Conn *c = r->c;
+    int last = g_queue_peek_tail(&c->reqs) == r;
+
+    if (!r->msg->keep || (c->s->draining && last)) {
+        c->closing = 1;
+    }
+    append_answer(r, status, lines, body, n, c->closing && last);
+    pump(c);
+}
+
+/* Answers what could not be read and closes behind it. */
+static void
+reject(Conn *c, int status)
+{
+    SpHttpReq *r = g_new0(SpHttpReq, 1);
+
+    r->c = c;
+    c->closing = 1;
+    append_answer(r, status, "", "", 0, 1);
+    g_queue_push_tail(&c->reqs, r);
+}
+
+static int
+take_request(void *ctx, SpMsg *m)
+{
+    Conn *c = ctx;
+    SpHttpReq *r;
+
+    c->partial = 0;
+    c->since = SpHttp_Now();
+    if (c->closing || c->lost) {
+        SpMsg_Free(m);
+        return 0;
+    }
+    r = g_new0(SpHttpReq, 1);
+    r->c = c;
+    r->msg = m;
+    g_queue_push_tail(&c->reqs, r);
+    if (!m->keep) {
+        c->closing = 1;
+    }
+    c->l->h.call(c->l->h.ctx, r);
+    return 0;
+}
+
+static void
+check_read(Conn *c)
+{
+    if (c->closing) {
+        return;
+    }
+    switch (c->r.state) {
+    case SP_READ_FINE:
+        break;
+    case SP_READ_BAD:
+        reject(c, 400);
+        break;
+    case SP_READ_LONG_HEAD:
+        reject(c, 431);
+        break;
+    case SP_READ_LONG_BODY:
+        reject(c, 413);
+        break;
+    }
+}
+
+static void
+on_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf)
+{
+    Conn *c = st->data;
+
+    if (n == 0) {
+        return;
+    }
+    if (n < 0) {
+        drop_conn(c);
+        return;
+    }
+    if (c->closing) {
+        return; /* what comes behind the last request is not read */
+    }
+    if (!c->partial && !c->r.msg) {
+        c->since = SpHttp_Now();
+    }
+    SpReader_Feed(&c->r, buf->base, (size_t)n);
+    c->partial = c->r.msg != NULL;
+    check_read(c);
+    if (c->reqs.length >= MAX_PIPELINE) {
+        c->paused = 1;
+        uv_read_stop(st);
+    }
+    pump(c);
+}
+
+static void
+on_connection(uv_stream_t *st, int status)
+{
+    Listener *l = st->data;
+    Conn *c;
+
+    if (status < 0) {
+        SpLog(SP_LOG_WARN, "accept-failed", "why=\"%s\"", uv_strerror(status));
+        return;
+    }
+    c = g_new0(Conn, 1);
+    c->s = l->s;
+    c->l = l;
+    uv_tcp_init(l->s->loop, &c->tcp);
+    c->tcp.data = c;
+    SpReader_Init(&c->r, HTTP_REQUEST);
+    c->r.done = take_request;
+    c->r.ctx = c;
+    c->r.max_head = l->s->lim.header_bytes;
+    c->r.max_body = l->s->lim.body_bytes;
+    c->since = SpHttp_Now();
+    g_queue_init(&c->reqs);
+    g_ptr_array_add(l->s->conns, c);
+    if (uv_accept(st, (uv_stream_t *)&c->tcp) != 0) {
+        drop_conn(c);
+        return;
+    }
+    uv_tcp_nodelay(&c->tcp, 1);
+    uv_read_start((uv_stream_t *)&c->tcp, SpHttp_Alloc, on_read);
+}
+
+SpHttp *
+SpHttp_New(uv_loop_t *loop, const SpHttpLimits *l)
+{
+    SpHttp *s = g_new0(SpHttp, 1);
+
+    s->loop = loop;
+    s->lim = *l;
+    s->conns = g_ptr_array_new();
+    /* the library's own bound must not be under ours */
+    http_parser_set_max_header_size(1u << 30);
+    return s;
+}
+
+void
+SpHttp_SetLimits(SpHttp *s, const SpHttpLimits *l)
+{
+    guint i;
+
+    s->lim = *l;
+    for (i = 0; i < s->conns->len; i++) {
+        Conn *c = g_ptr_array_index(s->conns, i);
+        c->r.max_head = l->header_bytes;
+        c->r.max_body = l->body_bytes;
+    }
+}
+
+int
+SpHttp_Listen(SpHttp *s, const char *addr, const SpHttpHandler *h,
+              GError **err)
+{
+    Listener *l = g_new0(Listener, 1);
+    struct sockaddr_in sa;
+    int e;
+
+    l->s = s;
+    l->h = *h;
+    uv_tcp_init(s->loop, &l->tcp);
+    l->tcp.data = l;
+    e = SpHttp_Addr(addr, &sa) ? 0 : UV_EINVAL;
+    if (e == 0) {
+        e = uv_tcp_bind(&l->tcp, (const struct sockaddr *)&sa, 0);
+    }
+    if (e == 0) {
+        e = uv_listen((uv_stream_t *)&l->tcp, BACKLOG, on_connection);
+    }
+    if (e != 0) {
+        g_set_error(err, SP_ERROR, SP_ERROR_SYSTEM, "cannot listen on %s: %s",
+                    addr, uv_strerror(e));
+        return 0;
+    }
+    return 1;
+}
+
+static void
+check_conn(Conn *c, const SpHttpLimits *lim, int64_t now)
+{
+    if (c->closed) {
+        if (now - c->shut_at > LINGER_US) {
+            drop_conn(c);
+        }
+        return;
+    }
+    if (!g_queue_is_empty(&c->reqs)) {
+        return;
+    }
+    if (c->partial && now - c->since > lim->header_us) {
+        reject(c, 408);
+        pump(c);
+    }
+    else if (!c->partial && now - c->since > lim->idle_us) {
+        c->closing = 1;
+        shut_conn(c);
+    }
+}
+
+void
+SpHttp_Tick(SpHttp *s, int64_t now)
+{
+    guint i;
+
+    for (i = s->conns->len; i > 0; i--) {
+        check_conn(g_ptr_array_index(s->conns, i - 1), &s->lim, now);
+    }
+}
+
+void
+SpHttp_Drain(SpHttp *s)
+{
+    s->draining = 1;
+}
+
+void
+SpHttp_CloseIdle(SpHttp *s)
+{
+    guint i;
+
+    for (i = s->conns->len; i > 0; i--) {
+        Conn *c = g_ptr_array_index(s->conns, i - 1);
+        if (g_queue_is_empty(&c->reqs) && !c->partial && !c->closed) {
+            c->closing = 1;
+            shut_conn(c);
+        }
+    }
+}
+
+int
+SpHttp_Open(const SpHttp *s)
+{
+    return (int)s->conns->len;
+}
+
+const SpMsg *
+SpHttpReq_Msg(const SpHttpReq *r)
+{
+    return r->msg;
+}
+
+void
+SpHttpReq_SetData(SpHttpReq *r, void *data)
+{
+    r->data = data;
+}
+
+void *
+SpHttpReq_Data(const SpHttpReq *r)
+{
+    return r->data;
+}
--- /dev/null
+++ b/relay/entry.c
@@ -0,0 +1,365 @@
+/* Requests of callers: route, choose, send, retry, answer. */
+#include <string.h>
+
+#include "relay/relay.h"
+
+/* Instances that one request may be offered to, refusals included. */
+#define MAX_TRIES 4
+/* What a caller waits that does not say. */
+#define DEFAULT_LEFT_US (30 * SP_SEC)
+/* A retry is not worth sending with less time left. */
+#define LEAST_LEFT_US (10 * SP_MS)
+/* Spread of the time after which a refused caller is asked to return. */
+#define RETURN_MIN_MS 100
+#define RETURN_SPREAD_MS 300
+
+struct Call {
+    Relay *n;
+    SpHttpReq *req;
+    const SpMsg *msg;
+    const char *id;
+    SpRoutes *routes;
+    const SpPathRoute *route;
+    const char *service;
+    int64_t arrived, deadline;
+    GString *head;
+    SpUpstream *tried[MAX_TRIES];
+    int ntried;
+    int reached; /* instances at which it arrived */
+    int maybe_ran;
+    SpUpstream *at; /* where it is now; NULL between sends */
+    Job *job;       /* at the own instance */
+    uint64_t seq;   /* at another node */
+    SpKind why;     /* of the last refusal */
+    GList node;
+};
+
+SpUpstream *
+call_target(const Call *c)
+{
+    return c->at;
+}
+
+static void
+free_call(Call *c)
+{
+    g_queue_unlink(&c->n->calls, &c->node);
+    SpRoutes_Unref(c->routes);
+    if (c->head) {
+        g_string_free(c->head, TRUE);
+    }
+    g_free(c);
+}
+
+/* Takes the request back from where it is. */
+static void
+recall(Call *c)
+{
+    SpUpstream *u = c->at;
+
+    if (!u) {
+        return;
+    }
+    c->at = NULL;
+    SpUpstream_Ended(u, SpHttp_Now(), 1);
+    if (c->job) {
+        Job *j = c->job;
+        c->job = NULL;
+        drop_job(j);
+    }
+    else if (u->user) {
+        cancel_link(u->user, c->seq);
+    }
+}
+
+static void
+answer_own(Call *c, SpKind k, int status, const char *lines)
+{
+    char body[96];
+    int64_t now = SpHttp_Now();
+
+    SpLog(SP_LOG_INFO, "call-refused",
+          "id=%s route=%s service=%s kind=%s status=%d ms=%" PRId64
+          " left_ms=%" PRId64 " tried=%d reached=%d config=%" PRIu64,
+          c->id ? c->id : "-", c->route ? c->route->name : "-",
+          c->service ? c->service : "-", SpKind_Info(k)->name, status,
+          (now - c->arrived) / SP_MS, (c->deadline - now) / SP_MS, c->ntried,
+          c->reached, c->routes ? c->routes->version : 0);
+    g_snprintf(body, sizeof body, "%s\n", SpKind_Info(k)->name);
+    SpHttp_Answer(c->req, status, lines, body, strlen(body));
+    free_call(c);
+}
+
+/* It has not run and will not: the caller may come back. */
+static void
+refuse(Call *c, SpKind k)
+{
+    char line[48];
+    double s =
+        (RETURN_MIN_MS + RETURN_SPREAD_MS * SpRand_Unit(&c->n->rand)) / 1000.0;
+
+    c->n->n.refused++;
+    g_snprintf(line, sizeof line, "Retry-After: %.3f\r\n", s);
+    answer_own(c, k, 503, line);
+}
+
+static void
+fail(Call *c, SpKind k)
+{
+    int late = SpHttp_Now() >= c->deadline;
+
+    c->n->n.failed++;
+    answer_own(c, k, late || k == SP_TIMEOUT ? 504 : 502, "");
+}
+
+static void
+give_up(Call *c, SpKind k)
+{
+    if (c->maybe_ran) {
+        fail(c, k);
+    }
+    else {
+        refuse(c, k);
+    }
+}
+
+static void
+on_job_done(Job *j, const Result *r)
+{
+    Call *c = j->owner;
+
+    c->job = NULL;
+    end_send(c, r);
+}
+
+static int
+send_to(Call *c, SpUpstream *u)
+{
+    Relay *n = c->n;
+    JobOpts o = {.id = c->id,
+                 .rank = c->route->rank,
+                 .idempotent = c->route->idempotent,
+                 .left_us = c->deadline - SpHttp_Now(),
+                 .service = c->service,
+                 .body = c->msg->body,
+                 .body_len = c->msg->body_len,
+                 .done = on_job_done,
+                 .owner = c};
+    Job *j;
+
+    c->at = u;
+    SpUpstream_Sent(u);
+    if (u == &n->self) {
+        o.head = g_string_new_len(c->head->str, (gssize)c->head->len);
+        /* a body in the request is valid until the answer; a run that may
+           not be cut can outlast it */
+        o.copy_body = !o.idempotent;
+        n->n.sent_near++;
+        j = start_job(n, &o);
+        if (j) {
+            c->job = j;
+        }
+        return 1; /* if refused, end_send has been told */
+    }
+    o.head = c->head;
+    c->seq = send_link(u->user, c, &o);
+    if (!c->seq) {
+        c->at = NULL;
+        SpUpstream_Ended(u, SpHttp_Now(), 0);
+        return 0;
+    }
+    if (u->near) {
+        n->n.sent_near++;
+    }
+    else {
+        n->n.sent_far++;
+    }
+    return 1;
+}
+
+static void
+place(Call *c)
+{
+    Service *s = service_of(c->n, c->service);
+    int64_t now = SpHttp_Now();
+    SpUpstream *u;
+
+    while (c->ntried < MAX_TRIES) {
+        if (c->deadline - now < LEAST_LEFT_US) {
+            give_up(c, SP_LATE);
+            return;
+        }
+        c->n->self.ready = own_load(c->n, now).ready;
+        u = SpChooser_Pick((SpUpstream *const *)s->ups->pdata, s->ups->len,
+                           now, c->tried, c->ntried, &c->n->rand);
+        if (!u) {
+            give_up(c, c->ntried ? c->why : SP_NO_TARGET);
+            return;
+        }
+        c->tried[c->ntried++] = u;
+        if (send_to(c, u)) {
+            return;
+        }
+    }
+    give_up(c, c->why);
+}
+
+static void
+pass_answer(Call *c, const Result *r)
+{
+    char *lines = g_strndup(r->lines, r->lines_len);
+
+    c->n->n.answered++;
+    if (r->status >= 500) {
+        SpLog(SP_LOG_INFO, "call-failed",
+              "id=%s route=%s service=%s at=%s status=%d ms=%" PRId64, c->id,
+              c->route->name, c->service, c->tried[c->ntried - 1]->name,
+              r->status, (SpHttp_Now() - c->arrived) / SP_MS);
+    }
+    SpHttp_Answer(c->req, r->status, lines, r->body, r->body_len);
+    g_free(lines);
+    free_call(c);
+}
+
+static int
+may_retry(Call *c)
+{
+    if (c->reached >= c->route->attempts ||
+        (c->maybe_ran && !c->route->idempotent)) {
+        return 0;
+    }
+    return SpRetryBudget_Take(&service_of(c->n, c->service)->retries,
+                              SpHttp_Now());
+}
+
+void
+end_send(Call *c, const Result *r)
+{
+    SpUpstream *u = c->at;
+    int ok = r->kind == SP_OK && r->status < 500;
+
+    c->at = NULL;
+    c->job = NULL;
+    c->why = r->kind;
+    SpUpstream_Ended(u, SpHttp_Now(),
+                     r->outcome == SP_NOT_RUN && !r->reached ? 1 : ok);
+    c->reached += r->reached;
+    if (r->outcome != SP_NOT_RUN) {
+        c->maybe_ran = 1;
+    }
+    if (ok || (r->kind == SP_OK && r->status == 504)) {
+        pass_answer(c, r);
+        return;
+    }
+    SpLog(SP_LOG_INFO, "send-ended",
+          "id=%s at=%s kind=%s outcome=%s reached=%d status=%d", c->id,
+          u->name, SpKind_Info(r->kind)->name, SpOutcome_Name(r->outcome),
+          r->reached, r->status);
+    if (!r->reached || may_retry(c)) {
+        if (r->reached) {
+            c->n->n.retries++;
+        }
+        place(c);
+        return;
+    }
+    if (r->kind == SP_OK) {
+        pass_answer(c, r);
+        return;
+    }
+    give_up(c, r->kind);
+}
+
+static int
+find_route(Call *c, const SpAsk *a)
+{
+    SpPathRoute *rt;
+
+    if (!c->n->routes) {
+        refuse(c, SP_NO_CONFIG);
+        return 0;
+    }
+    c->routes = SpRoutes_Ref(c->n->routes);
+    if (!a->id || !a->host) {
+        answer_own(c, SP_BAD_REQUEST, 400, "");
+        return 0;
+    }
+    rt = SpRoutes_Find(c->routes, a->host, c->msg->target);
+    if (!rt) {
+        answer_own(c, SP_NO_ROUTE, 404, "");
+        return 0;
+    }
+    c->route = rt;
+    c->service = SpPathRoute_Part(rt);
+    return 1;
+}
+
+static void
+on_call(void *ctx, SpHttpReq *req)
+{
+    Relay *n = ctx;
+    Call *c = g_new0(Call, 1);
+    SpAsk a;
+
+    n->n.calls++;
+    c->n = n;
+    c->req = req;
+    c->msg = SpHttpReq_Msg(req);
+    c->arrived = SpHttp_Now();
+    c->node.data = c;
+    g_queue_push_tail_link(&n->calls, &c->node);
+    SpHttpReq_SetData(req, c);
+    n->ad->read_request(c->msg, &a);
+    c->id = a.id;
+    c->deadline = c->arrived + (a.left_us > 0 ? a.left_us : DEFAULT_LEFT_US);
+    if (!find_route(c, &a)) {
+        return;
+    }
+    if (c->route->timeout_us > 0) {
+        c->deadline = MIN(c->deadline, c->arrived + c->route->timeout_us);
+    }
+    c->head = g_string_sized_new(512);
+    n->ad->write_head(c->head, c->msg, n->set.service);
+    SpRetryBudget_First(&service_of(n, c->service)->retries, c->arrived);
+    place(c);
+}
+
+static void
+on_left(void *ctx, SpHttpReq *req)
+{
+    Relay *n = ctx;
+    Call *c = SpHttpReq_Data(req);
+
+    n->n.left++;
+    SpLog(SP_LOG_INFO, "caller-left", "id=%s ms=%" PRId64, c->id,
+          (SpHttp_Now() - c->arrived) / SP_MS);
+    recall(c);
+    free_call(c);
+}
+
+void
+tick_calls(Relay *n, int64_t now)
+{
+    GList *k, *next;
+
+    for (k = n->calls.head; k; k = next) {
+        Call *c = k->data;
+        next = k->next;
+        if (now < c->deadline) {
+            continue;
+        }
+        n->n.timed_out++;
+        c->maybe_ran |= c->at != NULL;
+        recall(c);
+        give_up(c, SP_TIMEOUT);
+    }
+}
+
+int
+listen_callers(Relay *n, GError **err)
+{
+    SpHttpHandler h = {on_call, on_left, n};
+
+    return SpHttp_Listen(n->http, n->set.outbound, &h, err) &&
+           (!n->set.inbound[0] ||
+            SpHttp_Listen(n->http, n->set.inbound, &h, err));
+}
--- /dev/null
+++ b/relay/instance.c
@@ -0,0 +1,423 @@
+/* The own instance: what it reports, who waits for it, what runs in it. */
+#include <string.h>
+
+#include "relay/relay.h"
+
+/* Reports that may be missing before the instance is taken as gone. */
+#define MISSED_REPORTS 3
+/* Requests stop this long before the bound of a leaving instance. */
+#define LEAVE_SLACK_US (700 * SP_MS)
+/* The instance ends a run at its deadline itself; this much later the run is
+   cut. */
+#define CUT_SLACK_US (150 * SP_MS)
+/* A run has to be given at least this. */
+#define LEAST_MS 1
+
+static int64_t
+leave_bound(const Relay *n)
+{
+    int64_t us = (int64_t)(n->set.drain_s * SP_SEC) - LEAVE_SLACK_US;
+
+    return n->inst.leave_at + MAX(us, 0);
+}
+
+/* Why no request may be sent to the instance now; SP_OK if one may. */
+static SpKind
+closed_for(const Relay *n, int64_t now)
+{
+    const Instance *i = &n->inst;
+
+    if (!i->known || i->down) {
+        return SP_NO_TARGET;
+    }
+    if (i->leave_at) {
+        return now < leave_bound(n) ? SP_OK : SP_LEAVING;
+    }
+    if ((double)(now - i->seen) > MISSED_REPORTS * n->set.report_s * SP_SEC) {
+        return SP_NO_TARGET;
+    }
+    return SP_OK;
+}
+
+Load
+own_load(const Relay *n, int64_t now)
+{
+    Load l;
+
+    l.ready = closed_for(n, now) == SP_OK && !n->inst.leave_at && !n->stop_at;
+    l.busy = n->lim.running + n->lim.queued;
+    l.limit = n->lim.limit;
+    l.run_us = n->lim.run_us;
+    return l;
+}
+
+/*
+ * Jobs.
+ */
+
+static void
+free_job(Job *j)
+{
+    g_queue_unlink(&j->n->jobs, &j->node);
+    if (j->head) {
+        g_string_free(j->head, TRUE);
+    }
+    g_free(j->own_body);
+    g_free(j);
+}
+
+static void
+end_job(Job *j, const Result *r)
+{
+    if (j->done) {
+        j->done(j, r);
+    }
+    free_job(j);
+}
+
+static void
+refuse_job(Job *j, SpKind k)
+{
+    Result r = {.kind = k, .outcome = SP_NOT_RUN};
+
+    j->n->n.jobs_refused++;
+    end_job(j, &r);
+}
+
+static void run_next(Relay *n);
+
+static int
+is_mine(void *data, const SpMsg *m)
+{
+    Job *j = data;
+    SpReply r;
+
+    j->n->ad->read_reply(m, j->id, &r);
+    return r.mine;
+}
+
+static void
+append_lines(GString *s, const SpMsg *m)
+{
+    int i;
+
+    for (i = 0; i < m->nheaders; i++) {
+        if (!SpHttp_IsHop(m->headers[i].name)) {
+            g_string_append_printf(s, "%s: %s\r\n", m->headers[i].name,
+                                   m->headers[i].value);
+        }
+    }
+}
+
+static void
+on_answer(void *data, SpPoolEnd end, const SpMsg *m, const char *why)
+{
+    Job *j = data;
+    Relay *n = j->n;
+    int64_t now = SpHttp_Now(), ran = now - j->started;
+    Result r = {.kind = SP_BROKEN, .outcome = SP_UNKNOWN, .reached = 1};
+    GString *lines = NULL;
+    SpReply reply;
+
+    j->x = NULL;
+    if (end == SP_POOL_OK) {
+        n->inst.seen = now;
+        n->ad->read_reply(m, j->id, &reply);
+        lines = g_string_sized_new(512);
+        append_lines(lines, m);
+        r.kind = reply.not_run ? SP_THROTTLED : SP_OK;
+        r.outcome = reply.not_run ? SP_NOT_RUN : SP_DONE;
+        r.status = m->status;
+        r.lines = lines->str;
+        r.lines_len = lines->len;
+        r.body = m->body;
+        r.body_len = m->body_len;
+    }
+    else if (end == SP_POOL_UNSENT) {
+        r.kind = SP_UNREACHABLE;
+        r.outcome = SP_NOT_RUN;
+        r.reached = 0;
+        if (!n->inst.down) {
+            n->inst.down = 1;
+            SpLog(SP_LOG_WARN, "instance-down", "instance=%s why=%s",
+                  n->inst.last.id, why);
+            SpPool_Flush(n->pool);
+            tell_links(n);
+        }
+    }
+    SpLimiter_End(&n->lim, now, &j->turn,
+                  r.kind == SP_OK && m->status < 500 ? ran : -1);
+    if (end != SP_POOL_OK) {
+        SpLog(SP_LOG_WARN, "run-lost",
+              "id=%s instance=%s why=%s sent=%d ms=%" PRId64, j->id,
+              n->inst.last.id, why, r.reached, ran / SP_MS);
+    }
+    end_job(j, &r);
+    if (lines) {
+        g_string_free(lines, TRUE);
+    }
+    run_next(n);
+}
+
+static void
+run_job(Job *j)
+{
+    Relay *n = j->n;
+    int64_t now = SpHttp_Now();
+    SpPoolSend o = {.is_mine = is_mine, .done = on_answer, .data = j};
+
+    j->started = now;
+    n->ad->write_tail(j->head, MAX(j->turn.deadline - now, LEAST_MS * SP_MS),
+                      n->inst.last.id);
+    o.head = j->head->str;
+    o.head_len = j->head->len;
+    o.body = j->body;
+    o.body_len = j->body_len;
+    o.is_head = strncmp(j->head->str, "HEAD ", 5) == 0;
+    n->n.jobs++;
+    j->x = SpPool_Send(n->pool, &o);
+}
+
+static void
+run_next(Relay *n)
+{
+    SpTurn *t;
+
+    while ((t = SpLimiter_Next(&n->lim)) != NULL) {
+        run_job(t->user);
+    }
+}
+
+Job *
+start_job(Relay *n, const JobOpts *o)
+{
+    int64_t now = SpHttp_Now();
+    Job *j = g_new0(Job, 1);
+    SpKind k = closed_for(n, now);
+
+    j->n = n;
+    j->idempotent = o->idempotent;
+    j->head = o->head;
+    j->done = o->done;
+    j->owner = o->owner;
+    j->seq = o->seq;
+    j->turn.user = j;
+    j->turn.rank = o->rank;
+    j->turn.deadline = now + o->left_us;
+    j->node.data = j;
+    g_strlcpy(j->id, o->id, sizeof j->id);
+    g_queue_push_tail_link(&n->jobs, &j->node);
+    if (strcmp(o->service, n->set.service) != 0) {
+        k = SP_NO_ROUTE;
+    }
+    if (k != SP_OK) {
+        refuse_job(j, k);
+        return NULL;
+    }
+    j->body = o->body;
+    j->body_len = o->body_len;
+    if (o->copy_body && o->body_len) {
+        j->own_body = g_memdup2(o->body, o->body_len);
+        j->body = j->own_body;
+    }
+    switch (SpLimiter_Offer(&n->lim, now, &j->turn)) {
+    case SP_TURN_RUN:
+        run_job(j);
+        return j;
+    case SP_TURN_WAIT:
+        return j;
+    case SP_TURN_REFUSE:
+        break;
+    }
+    refuse_job(j, SP_SHED);
+    return NULL;
+}
+
+void
+drop_job(Job *j)
+{
+    Relay *n = j->n;
+
+    j->done = NULL;
+    if (j->x && !j->idempotent) {
+        return; /* it may not be cut: nobody could tell whether it ran */
+    }
+    if (j->x) {
+        SpExchange_Abort(j->x);
+    }
+    SpLimiter_End(&n->lim, SpHttp_Now(), &j->turn, -1);
+    free_job(j);
+    run_next(n);
+}
+
+/* A run past its deadline that the instance did not end. */
+static void
+cut_run(Job *j, int64_t now)
+{
+    Relay *n = j->n;
+    Result r = {.kind = SP_TIMEOUT, .outcome = SP_UNKNOWN, .reached = 1};
+
+    SpExchange_Abort(j->x);
+    j->x = NULL;
+    SpLog(SP_LOG_WARN, "run-cut", "id=%s instance=%s ms=%" PRId64, j->id,
+          n->inst.last.id, (now - j->started) / SP_MS);
+    SpLimiter_End(&n->lim, now, &j->turn, now - j->started);
+    end_job(j, &r);
+}
+
+static void
+check_runs(Relay *n, int64_t now)
+{
+    GList *k, *next;
+
+    for (k = n->jobs.head; k; k = next) {
+        Job *j = k->data;
+        next = k->next;
+        if (j->x && now > j->turn.deadline + CUT_SLACK_US) {
+            cut_run(j, now);
+        }
+    }
+}
+
+static void
+refuse_waiting(Relay *n, SpKind why)
+{
+    GList *k, *next;
+
+    for (k = n->jobs.head; k; k = next) {
+        Job *j = k->data;
+        next = k->next;
+        if (j->turn.queued) {
+            SpLimiter_End(&n->lim, 0, &j->turn, -1);
+            refuse_job(j, why);
+        }
+    }
+}
+
+void
+tick_instance(Relay *n, int64_t now)
+{
+    SpKind k = closed_for(n, now);
+    SpTurn *t;
+
+    check_runs(n, now);
+    while ((t = SpLimiter_Late(&n->lim, now)) != NULL) {
+        refuse_job(t->user, SP_LATE);
+    }
+    if (k != SP_OK && n->lim.queued) {
+        refuse_waiting(n, k);
+    }
+    run_next(n);
+    SpPool_Tick(n->pool, now);
+}
+
+/*
+ * Reports.
+ */
+
+/* 1 if the report is of an earlier lifetime, or older than the last one. */
+static int
+is_stale(const Instance *i, const SpReport *r)
+{
+    if (!i->known) {
+        return 0;
+    }
+    if (r->start_ms != i->last.start_ms) {
+        return r->start_ms < i->last.start_ms;
+    }
+    return strcmp(r->id, i->last.id) != 0 ||
+           (!r->partial && r->seq <= i->last.seq);
+}
+
+static void
+begin_lifetime(Relay *n, const SpReport *r)
+{
+    memset(&n->inst, 0, sizeof n->inst);
+    n->inst.known = 1;
+    n->inst.last = *r;
+    SpPool_Flush(n->pool);
+    SpLog(SP_LOG_INFO, "instance-up",
+          "instance=%s start_ms=%" PRId64 " slots=%d warmup_ms=%" PRId64,
+          r->id, r->start_ms, r->slots, r->warmup_us / SP_MS);
+}
+
+static void
+take_report(Relay *n, const SpReport *r)
+{
+    Instance *i = &n->inst;
+    int64_t now = SpHttp_Now();
+    int was = own_load(n, now).ready;
+
+    if (is_stale(i, r)) {
+        SpLog(SP_LOG_INFO, "report-stale",
+              "instance=%s seq=%" PRId64 " start_ms=%" PRId64, r->id, r->seq,
+              r->start_ms);
+        return;
+    }
+    if (!r->partial && (!i->known || r->start_ms != i->last.start_ms)) {
+        begin_lifetime(n, r);
+    }
+    if (!i->known) {
+        return; /* it leaves before it was ever known */
+    }
+    if (!r->partial) {
+        i->last = *r;
+        i->down = 0;
+        SpLimiter_SetSlots(&n->lim, r->slots);
+    }
+    i->seen = now;
+    if (r->phase != SP_INST_READY && !i->leave_at) {
+        i->leave_at = now;
+        SpLog(SP_LOG_INFO, "instance-leaving", "instance=%s said=%s", r->id,
+              r->phase == SP_INST_GONE ? "gone" : "draining");
+    }
+    if (own_load(n, now).ready != was) {
+        tell_links(n);
+    }
+    run_next(n);
+}
+
+static void
+on_report(void *ctx, SpHttpReq *req)
+{
+    Relay *n = ctx;
+    const SpMsg *m = SpHttpReq_Msg(req);
+    SpReport r;
+
+    if (n->ad->is_ready_check(m)) {
+        SpHttp_Answer(req, is_relay_ready(n) ? 200 : 503, "", "", 0);
+        return;
+    }
+    if (!n->ad->read_report(m, &r)) {
+        SpLog(SP_LOG_WARN, "report-unusable", "bytes=%zu", m->body_len);
+        SpHttp_Answer(req, 400, "", "", 0);
+        return;
+    }
+    if ((!r.partial && strcmp(r.addr, n->set.instance) != 0) ||
+        (!r.partial && strcmp(r.service, n->set.service) != 0)) {
+        char a[64], s[128];
+        SpLog(SP_LOG_WARN, "report-foreign", "addr=%s service=%s",
+              SpLog_Quote(a, sizeof a, r.addr),
+              SpLog_Quote(s, sizeof s, r.service));
+    }
+    else {
+        take_report(n, &r);
+    }
+    SpHttp_Answer(req, 200, "Content-Type: application/json\r\n", "{}", 2);
+}
+
+static void
+on_report_gone(void *ctx, SpHttpReq *req)
+{
+    (void)ctx;
+    (void)req; /* each report is answered at once */
+}
+
+int
+listen_reports(Relay *n, GError **err)
+{
+    SpHttpHandler h = {on_report, on_report_gone, n};
+
+    return SpHttp_Listen(n->http, n->set.reports, &h, err) &&
+           SpHttp_Listen(n->http, n->set.ready, &h, err);
+}
--- /dev/null
+++ b/relay/sprelay.c
@@ -0,0 +1,316 @@
+/* sprelay: the daemon beside an upstream instance. */
+#include <getopt.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "platform/platform.h"
+#include "relay/relay.h"
+
+#define VERSION "0.2.0"
+/* The callers of a stopping node need this long to turn elsewhere. */
+#define NOTICE_US (3200 * SP_MS)
+/* The rest of the bound of a stop is kept for the process to end. */
+#define STOP_SLACK_US (600 * SP_MS)
+/* A node that just started waits so long for its links. */
+#define SETTLE_US (1500 * SP_MS)
+
+static const SpAdapter *const adapters[] = {&SpPlatform_Adapter};
+
+static int
+usage(FILE *f, int status)
+{
+    fprintf(f, "usage: sprelay [-t] -c SETTINGS\n"
+               "  -c, --config FILE  settings, JSON\n"
+               "  -t, --test         check the settings only\n"
+               "  -h, --help         print this\n"
+               "  -V, --version      print the version\n");
+    return status;
+}
+
+Service *
+service_of(Relay *n, const char *name)
+{
+    Service *s = g_hash_table_lookup(n->services, name);
+    SpRetryOpts o = {n->set.retry_ratio, n->set.retry_slack,
+                     (int64_t)(n->set.retry_window_s * SP_SEC)};
+
+    if (!s) {
+        s = g_new0(Service, 1);
+        g_strlcpy(s->name, name, sizeof s->name);
+        s->ups = g_ptr_array_new();
+        SpRetryBudget_Init(&s->retries, &o);
+        g_hash_table_insert(n->services, g_strdup(name), s);
+    }
+    return s;
+}
+
+static void
+apply_limits(Relay *n)
+{
+    const SpRouteLimits *l = &n->routes->limits;
+    SpHttpLimits h = {(size_t)l->header_bytes, (size_t)l->body_bytes,
+                      l->header_us, l->idle_us};
+
+    SpHttp_SetLimits(n->http, &h);
+}
+
+void
+take_config(Relay *n, const char *p, size_t len, const char *from)
+{
+    GError *err = NULL;
+    SpRoutes *rs = n->ad->read_config(p, len, &err);
+
+    if (!rs) {
+        SpLog(SP_LOG_WARN, "config-unusable", "from=%s why=\"%s\"", from,
+              err->message);
+        g_error_free(err);
+        return;
+    }
+    if (n->routes && rs->version <= n->routes->version) {
+        SpRoutes_Unref(rs);
+        return;
+    }
+    SpLog(SP_LOG_INFO, "config",
+          "version=%" PRIu64 " was=%" PRIu64 " from=%s routes=%u", rs->version,
+          n->routes ? n->routes->version : 0, from, SpRoutes_Count(rs));
+    SpRoutes_Unref(n->routes);
+    n->routes = rs;
+    apply_limits(n);
+    tell_links(n);
+}
+
+int
+is_relay_ready(const Relay *n)
+{
+    int64_t age = SpHttp_Now() - n->started;
+
+    if (n->stop_at || !n->routes) {
+        return 0;
+    }
+    return count_links(n) > 0 || age > SETTLE_US;
+}
+
+static void
+finish(Relay *n, const char *how)
+{
+    SpLog(SP_LOG_INFO, "stopped",
+          "how=%s calls=%u jobs=%u connections=%d ms=%" PRId64, how,
+          n->calls.length, n->jobs.length, SpHttp_Open(n->http),
+          (SpHttp_Now() - n->stop_at) / SP_MS);
+    fflush(NULL);
+    uv_stop(n->loop);
+}
+
+static void
+check_stop(Relay *n, int64_t now)
+{
+    int64_t bound = (int64_t)(n->set.stop_s * SP_SEC) - STOP_SLACK_US;
+    int64_t age = now - n->stop_at;
+
+    if (!n->stop_at) {
+        return;
+    }
+    if (age > NOTICE_US) {
+        SpHttp_CloseIdle(n->http);
+        if (!n->calls.length && !n->jobs.length && SpHttp_Open(n->http) == 0) {
+            finish(n, "drained");
+            return;
+        }
+    }
+    if (age > bound) {
+        finish(n, "bound");
+    }
+}
+
+static void
+on_tick(uv_timer_t *t)
+{
+    Relay *n = t->data;
+    int64_t now = SpHttp_Now();
+
+    n->ticked = now;
+    tick_store(n, now);
+    tick_instance(n, now);
+    tick_calls(n, now);
+    tick_links(n, now);
+    SpHttp_Tick(n->http, now);
+    check_stop(n, now);
+}
+
+static void
+on_prepare(uv_prepare_t *p)
+{
+    flush_links(p->data);
+}
+
+static void
+on_signal(uv_signal_t *s, int signum)
+{
+    Relay *n = s->data;
+
+    if (n->stop_at) {
+        return;
+    }
+    n->stop_at = SpHttp_Now();
+    SpLog(SP_LOG_INFO, "stopping", "signal=%d calls=%u jobs=%u", signum,
+          n->calls.length, n->jobs.length);
+    SpHttp_Drain(n->http);
+    tell_links(n);
+}
+
+static void
+on_hup(uv_signal_t *s, int signum)
+{
+    (void)s;
+    SpLog(SP_LOG_INFO, "reload", "signal=%d", signum);
+}
+
+static uint64_t
+random_word(void)
+{
+    uint64_t v;
+
+    if (getrandom(&v, sizeof v, 0) != (ssize_t)sizeof v) {
+        v = uv_hrtime();
+    }
+    return v;
+}
+
+static void
+start_signal(Relay *n, uv_signal_t *s, int signum, uv_signal_cb cb)
+{
+    uv_signal_init(n->loop, s);
+    s->data = n;
+    uv_signal_start(s, cb, signum);
+}
+
+static void
+init_self(Relay *n)
+{
+    SpUpstream *u = &n->self;
+
+    g_strlcpy(u->name, n->set.name, sizeof u->name);
+    u->near = 1;
+    g_ptr_array_add(service_of(n, n->set.service)->ups, u);
+}
+
+static int
+start_relay(Relay *n, GError **err)
+{
+    static const SpHttpLimits limits = {16384, 64 << 20, 5 * SP_SEC,
+                                        60 * SP_SEC};
+    SpPoolOpts po = {.connect_us = 1 * SP_SEC,
+                     .idle_us = 8 * SP_SEC,
+                     .body_bytes = 64 << 20};
+
+    n->started = n->ticked = SpHttp_Now();
+    n->born = random_word();
+    n->rand = random_word();
+    n->services = g_hash_table_new(g_str_hash, g_str_equal);
+    g_queue_init(&n->jobs);
+    g_queue_init(&n->calls);
+    SpLimiter_Init(&n->lim);
+    n->http = SpHttp_New(n->loop, &limits);
+    g_strlcpy(po.addr, n->set.instance, sizeof po.addr);
+    n->pool = SpPool_New(n->loop, &po);
+    init_self(n);
+    if (!open_links(n, err) || !open_store(n, err) ||
+        !listen_callers(n, err) || !listen_reports(n, err)) {
+        return 0;
+    }
+    uv_timer_init(n->loop, &n->tick);
+    n->tick.data = n;
+    uv_timer_start(&n->tick, on_tick, 1, SP_RELAY_TICK_US / SP_MS);
+    uv_prepare_init(n->loop, &n->prepare);
+    n->prepare.data = n;
+    uv_prepare_start(&n->prepare, on_prepare);
+    start_signal(n, &n->term, SIGTERM, on_signal);
+    start_signal(n, &n->intr, SIGINT, on_signal);
+    start_signal(n, &n->hup, SIGHUP, on_hup);
+    return 1;
+}
+
+static const SpAdapter *
+find_adapter(const char *name)
+{
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(adapters); i++) {
+        if (strcmp(adapters[i]->name, name) == 0) {
+            return adapters[i];
+        }
+    }
+    return NULL;
+}
+
+static int
+load(Relay *n, const char *file)
+{
+    SpProblems *ps = SpProblems_New();
+    int ok = SpRelaySettings_Load(file, &n->set, ps);
+
+    n->ad = ok ? find_adapter(n->set.interface) : NULL;
+    if (ok && !n->ad) {
+        SpProblems_Add(ps, "interface", "no interface has this name");
+    }
+    SpProblems_Print(ps, "sprelay", file, stderr);
+    SpProblems_Free(ps);
+    return ok && n->ad;
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct option options[] = {
+        {"config", required_argument, NULL, 'c'},
+        {"test", no_argument, NULL, 't'},
+        {"help", no_argument, NULL, 'h'},
+        {"version", no_argument, NULL, 'V'},
+        {NULL, 0, NULL, 0}};
+    static Relay n;
+    const char *file = NULL;
+    GError *err = NULL;
+    int test = 0, c;
+
+    argv[0] = "sprelay"; /* for the messages of getopt */
+    while ((c = getopt_long(argc, argv, "c:thV", options, NULL)) != -1) {
+        switch (c) {
+        case 'c':
+            file = optarg;
+            break;
+        case 't':
+            test = 1;
+            break;
+        case 'h':
+            return usage(stdout, 0);
+        case 'V':
+            printf("sprelay %s\n", VERSION);
+            return 0;
+        default:
+            return usage(stderr, 2);
+        }
+    }
+    if (!file || optind != argc) {
+        return usage(stderr, 2);
+    }
+    if (!load(&n, file)) {
+        return 2;
+    }
+    if (test) {
+        printf("sprelay: %s: settings are correct\n", file);
+        return 0;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    SpLog_Init("sprelay", n.set.name, SP_LOG_INFO, stdout, NULL);
+    setvbuf(stdout, NULL, _IOLBF, 0);
+    n.loop = uv_default_loop();
+    if (!start_relay(&n, &err)) {
+        fprintf(stderr, "sprelay: %s\n", err->message);
+        return 1;
+    }
+    SpLog(SP_LOG_INFO, "started", "zone=%s service=%s outbound=%s link=%s",
+          n.set.zone, n.set.service, n.set.outbound, n.set.link);
+    uv_run(n.loop, UV_RUN_DEFAULT);
+    return 0;
+}
--- /dev/null
+++ b/relay/store.c
@@ -0,0 +1,317 @@
+/*
+ * The platform's store: the configuration, and where the other nodes are.
+ * Two tasks, each with one call under way at a time: one tells the own
+ * address and lists the others, one follows the configuration.
+ */
+#include <string.h>
+
+#include "relay/relay.h"
+
+#define CALL_US (2 * SP_SEC)
+#define LONG_READ_MS 8000
+#define PAUSE_MIN_US (200 * SP_MS)
+#define PAUSE_MAX_US (2 * SP_SEC)
+/* A node that knows no other lists them again after this. */
+#define LONELY_US (3 * SP_SEC)
+#define ANSWER_BYTES ((size_t)8 << 20)
+
+typedef enum { STEP_TELL, STEP_LIST, STEP_REST } NodesStep;
+typedef enum { STEP_NEWEST, STEP_FOLLOW } ConfigStep;
+
+/* One call at a time, with its pause after a failure. */
+typedef struct Task {
+    Store *s;
+    const char *name;
+    SpExchange *x;
+    int64_t until;   /* the call is given up then */
+    int64_t next_at; /* no call before */
+    int64_t pause_us;
+    int failing;
+    void (*start)(struct Task *t);
+    /* returns 0 if the answer is of no use */
+    int (*take)(struct Task *t, const SpMsg *m);
+    int step;
+    int64_t offset;
+    char after[256];
+} Task;
+
+struct Store {
+    Relay *n;
+    SpPool *pool;
+    Task nodes, config;
+    int listed;
+};
+
+static void
+note_state(Task *t, int failing, const char *why, int status)
+{
+    if (t->failing == failing) {
+        return;
+    }
+    t->failing = failing;
+    SpLog(failing ? SP_LOG_WARN : SP_LOG_INFO,
+          failing ? "store-lost" : "store-back", "task=%s why=%s status=%d",
+          t->name, why, status);
+}
+
+static void
+pause_task(Task *t)
+{
+    uint64_t *rand = &t->s->n->rand;
+
+    t->next_at = SpHttp_Now() + t->pause_us / 2 +
+                 (int64_t)(SpRand(rand) % (uint64_t)t->pause_us);
+    t->pause_us = MIN(t->pause_us * 2, PAUSE_MAX_US);
+}
+
+static void
+on_answer(void *data, SpPoolEnd end, const SpMsg *m, const char *why)
+{
+    Task *t = data;
+
+    t->x = NULL;
+    if (end != SP_POOL_OK || !t->take(t, m)) {
+        note_state(t, 1, end == SP_POOL_OK ? "answer" : why,
+                   m ? m->status : 0);
+        pause_task(t);
+        return;
+    }
+    note_state(t, 0, "ok", m->status);
+    t->pause_us = PAUSE_MIN_US;
+}
+
+static void
+send_call(Task *t, const GString *s, int64_t timeout_us)
+{
+    SpPoolSend o = {
+        .head = s->str, .head_len = s->len, .done = on_answer, .data = t};
+
+    t->until = SpHttp_Now() + timeout_us;
+    t->x = SpPool_Send(t->s->pool, &o);
+}
+
+static void
+tick_task(Task *t, int64_t now)
+{
+    if (t->x) {
+        if (now > t->until) {
+            SpExchange_Abort(t->x);
+            t->x = NULL;
+            note_state(t, 1, "timeout", 0);
+            pause_task(t);
+        }
+        return;
+    }
+    if (now >= t->next_at) {
+        t->start(t);
+    }
+}
+
+/*
+ * Nodes.
+ */
+
+static void
+start_nodes(Task *t)
+{
+    Relay *n = t->s->n;
+    const SpAdapter *ad = n->ad;
+    GString *s = g_string_sized_new(512);
+
+    if (t->step == STEP_REST) {
+        if (count_links(n) > 0) {
+            t->next_at = SpHttp_Now() + LONELY_US;
+            g_string_free(s, TRUE);
+            return;
+        }
+        t->step = STEP_LIST;
+    }
+    if (t->step == STEP_TELL) {
+        ad->write_append(s, n->set.store, SP_STREAM_NODES, n->set.name,
+                         n->set.link);
+    }
+    else {
+        ad->write_newest(s, n->set.store, SP_STREAM_NODES, t->after);
+    }
+    send_call(t, s, CALL_US);
+    g_string_free(s, TRUE);
+}
+
+static void
+meet_listed(Relay *n, const SpRecords *rs)
+{
+    char addr[SP_ADDR_BYTES];
+    guint i;
+
+    for (i = 0; i < rs->list->len; i++) {
+        const SpRecord *r = &g_array_index(rs->list, SpRecord, i);
+        if (r->value && r->value_len < sizeof addr) {
+            memcpy(addr, r->value, r->value_len);
+            addr[r->value_len] = '\0';
+            meet_peer(n, addr);
+        }
+    }
+}
+
+static void
+note_last_key(Task *t, const SpRecords *rs)
+{
+    t->after[0] = '\0';
+    if (rs->more && rs->list->len) {
+        g_strlcpy(t->after,
+                  g_array_index(rs->list, SpRecord, rs->list->len - 1).key,
+                  sizeof t->after);
+    }
+}
+
+static void
+free_records(SpRecords *rs)
+{
+    SpArena_Free(rs->arena);
+    if (rs->list) {
+        g_array_free(rs->list, TRUE);
+    }
+}
+
+static int
+take_nodes(Task *t, const SpMsg *m)
+{
+    SpRecords rs = {0};
+    int ok;
+
+    if (t->step == STEP_TELL) {
+        if (m->status != 200) {
+            return 0;
+        }
+        t->step = STEP_LIST;
+        return 1;
+    }
+    ok = t->s->n->ad->read_newest(m, &rs);
+    if (ok) {
+        meet_listed(t->s->n, &rs);
+        note_last_key(t, &rs);
+        if (!t->after[0]) {
+            t->step = STEP_REST;
+            t->s->listed = 1;
+            t->next_at = SpHttp_Now() + LONELY_US;
+        }
+    }
+    free_records(&rs);
+    return ok;
+}
+
+/*
+ * Configuration.
+ */
+
+static void
+start_config(Task *t)
+{
+    Relay *n = t->s->n;
+    GString *s = g_string_sized_new(512);
+
+    if (t->step == STEP_NEWEST) {
+        n->ad->write_newest(s, n->set.store, SP_STREAM_CONFIG, t->after);
+        send_call(t, s, CALL_US);
+    }
+    else {
+        n->ad->write_read(s, n->set.store, SP_STREAM_CONFIG, t->offset,
+                          LONG_READ_MS);
+        send_call(t, s, LONG_READ_MS * SP_MS + CALL_US);
+    }
+    g_string_free(s, TRUE);
+}
+
+/* The newest record of the configuration's key counts; older ones that the
+   same read brings would only be replaced at once. */
+static void
+take_newest_config(Relay *n, const SpRecords *rs)
+{
+    guint i;
+
+    for (i = rs->list->len; i > 0; i--) {
+        const SpRecord *r = &g_array_index(rs->list, SpRecord, i - 1);
+        if (r->key && r->value && strcmp(r->key, n->ad->config_key) == 0) {
+            take_config(n, r->value, r->value_len, "store");
+            return;
+        }
+    }
+}
+
+static int
+take_followed(Task *t, const SpMsg *m)
+{
+    SpRecords rs = {0};
+    int ok;
+
+    if (t->step == STEP_NEWEST) {
+        ok = t->s->n->ad->read_newest(m, &rs);
+    }
+    else {
+        ok = t->s->n->ad->read_read(m, &rs);
+    }
+    if (ok) {
+        take_newest_config(t->s->n, &rs);
+    }
+    if (ok && t->step == STEP_NEWEST) {
+        note_last_key(t, &rs);
+    }
+    if (ok && !t->after[0]) {
+        t->offset = rs.end;
+        t->step = STEP_FOLLOW;
+    }
+    if (!ok) {
+        /* the history is gone, or the answer was: start from the newest */
+        t->step = STEP_NEWEST;
+        t->after[0] = '\0';
+    }
+    free_records(&rs);
+    return ok;
+}
+
+/*
+ * Life.
+ */
+
+static void
+init_task(Store *s, Task *t, const char *name, void (*start)(Task *t),
+          int (*take)(Task *t, const SpMsg *m))
+{
+    t->s = s;
+    t->name = name;
+    t->start = start;
+    t->take = take;
+    t->pause_us = PAUSE_MIN_US;
+}
+
+int
+open_store(Relay *n, GError **err)
+{
+    SpPoolOpts o = {.connect_us = 1 * SP_SEC,
+                    .idle_us = 5 * SP_SEC,
+                    .body_bytes = ANSWER_BYTES};
+    Store *s = g_new0(Store, 1);
+
+    (void)err;
+    g_strlcpy(o.addr, n->set.store, sizeof o.addr);
+    s->n = n;
+    s->pool = SpPool_New(n->loop, &o);
+    init_task(s, &s->nodes, "nodes", start_nodes, take_nodes);
+    init_task(s, &s->config, "config", start_config, take_followed);
+    n->store = s;
+    return 1;
+}
+
+void
+tick_store(Relay *n, int64_t now)
+{
+    tick_task(&n->store->nodes, now);
+    tick_task(&n->store->config, now);
+    SpPool_Tick(n->store->pool, now);
+}
+
+int
+store_is_read(const Relay *n)
+{
+    return n->store->listed;
+}
