Entry turns away new work that the services behind it have no room for

Change: calls of a run inherit rank and deadline of the request that the instance runs (hint in the attempt id); waiting is by rank, work under way first; each gate keeps a level that falls with its wait, passed up the chain with each answer; the entry admits new work by it.

--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -107,6 +107,12 @@
     b->o = *o;
 }
 
+void
+SpRetryBudget_SetSlack(SpRetryBudget *b, double slack)
+{
+    b->o.slack = slack;
+}
+
 static int
 turn_to(SpRetryBudget *b, int64_t now)
 {
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -12,7 +12,9 @@
 #include "base/base.h"
 
 #define SP_FLOW_NAME 64
-#define SP_MAX_RANKS 8
+#define SP_MAX_RANKS 4 /* higher ones count as the last */
+/* In each rank, work under way goes before new work. */
+#define SP_LANES (2 * SP_MAX_RANKS)
 
 /*
  * Routes: the configuration in force.
@@ -51,6 +53,7 @@
     GHashTable *services; /* name to the connections an instance accepts */
     char *text;           /* as it was published */
     size_t text_len;
+    int ranks; /* one more than the highest rank in use */
     int refs;
 } SpRoutes;
 
@@ -75,6 +78,8 @@
 typedef struct SpTurn {
     GList link; /* data points to the turn */
     int rank;
+    int begun; /* 1: other work, already under way, waits for it */
+    int lane;  /* the queue it waits in */
     int64_t arrived;
     int64_t deadline;
     int queued;
@@ -89,10 +94,8 @@
     double limit; /* requests that may run at a time */
     int running;
     int queued;
-    GQueue queue[SP_MAX_RANKS];
-    double run_us;   /* smoothed time of one run */
-    double floor_us; /* run time while few run */
-    int64_t floor_at;
+    GQueue queue[SP_LANES];
+    double run_us; /* smoothed time of one run */
 } SpLimiter;
 
 void SpLimiter_Init(SpLimiter *l);
@@ -105,8 +108,27 @@
 SpTurn *SpLimiter_Late(SpLimiter *l, int64_t now);
 /* SpLimiter_End ends a turn, queued or running; ran_us < 0: no sample. */
 void SpLimiter_End(SpLimiter *l, int64_t now, SpTurn *t, int64_t ran_us);
-/* SpLimiter_Wait is the time a new request of a rank would wait. */
-int64_t SpLimiter_Wait(const SpLimiter *l, int rank);
+/* SpLimiter_Wait is the time a new request in a lane would wait. */
+int64_t SpLimiter_Wait(const SpLimiter *l, int lane);
+
+/*
+ * Level: how much new work a service admits.
+ */
+typedef struct SpAdmission {
+    double level;
+    double top; /* number of ranks in use */
+    int64_t at;
+} SpAdmission;
+
+void SpAdmission_Init(SpAdmission *lv);
+/* SpAdmission_SetTop tells the number of ranks that the configuration uses. */
+void SpAdmission_SetTop(SpAdmission *lv, int ranks);
+/* SpAdmission_Update: wait_us is the time to empty the queue, busy the share
+   of the limit that runs. */
+void SpAdmission_Update(SpAdmission *lv, int64_t now, int64_t wait_us,
+                        double busy);
+/* SpAdmission_Share is the share of a rank's requests that a level admits. */
+double SpAdmission_Share(double level, int rank);
 
 /*
  * Chooser: which instance of a service takes the next request.
@@ -117,6 +139,7 @@
     int ready;
     double limit;  /* requests that it runs at a time */
     int busy;      /* running and waiting there, as last told */
+    double level;  /* that it and what lies behind it admit */
     int mine;      /* sent from here and not answered */
     int mine_told; /* mine when busy was told */
     double run_us; /* smoothed, as last told */
@@ -160,5 +183,7 @@
 void SpRetryBudget_First(SpRetryBudget *b, int64_t now);
 /* SpRetryBudget_Take returns 1 and counts it if one more retry fits. */
 int SpRetryBudget_Take(SpRetryBudget *b, int64_t now);
+/* SpRetryBudget_SetSlack: it is shared by all nodes, whose number varies. */
+void SpRetryBudget_SetSlack(SpRetryBudget *b, double slack);
 
 #endif
--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -20,7 +20,7 @@
     memset(l, 0, sizeof *l);
     l->run_us = FIRST_RUN_US;
     l->limit = 1;
-    for (i = 0; i < SP_MAX_RANKS; i++) {
+    for (i = 0; i < SP_LANES; i++) {
         g_queue_init(&l->queue[i]);
     }
 }
@@ -33,23 +33,23 @@
 }
 
 int64_t
-SpLimiter_Wait(const SpLimiter *l, int rank)
+SpLimiter_Wait(const SpLimiter *l, int lane)
 {
     int i, ahead = 0;
 
     if (l->running + l->queued < (int)l->limit) {
         return 0;
     }
-    for (i = 0; i <= rank && i < SP_MAX_RANKS; i++) {
+    for (i = 0; i <= lane && i < SP_LANES; i++) {
         ahead += (int)l->queue[i].length;
     }
     return (int64_t)((ahead + 1) * l->run_us / l->limit);
 }
 
 static int
-clamp_rank(int rank)
+lane_of(const SpTurn *t)
 {
-    return CLAMP(rank, 0, SP_MAX_RANKS - 1);
+    return 2 * CLAMP(t->rank, 0, SP_MAX_RANKS - 1) + (t->begun ? 0 : 1);
 }
 
 SpTurnState
@@ -57,7 +57,7 @@
 {
     int64_t left = t->deadline - now;
 
-    t->rank = clamp_rank(t->rank);
+    t->lane = lane_of(t);
     t->arrived = now;
     if (left <= 0) {
         return SP_TURN_REFUSE;
@@ -67,12 +67,12 @@
         t->running = 1;
         return SP_TURN_RUN;
     }
-    if ((double)SpLimiter_Wait(l, t->rank) > WAIT_SHARE * (double)left) {
+    if ((double)SpLimiter_Wait(l, t->lane) > WAIT_SHARE * (double)left) {
         return SP_TURN_REFUSE;
     }
     t->link.data = t;
     t->link.next = t->link.prev = NULL;
-    g_queue_push_tail_link(&l->queue[t->rank], &t->link);
+    g_queue_push_tail_link(&l->queue[t->lane], &t->link);
     t->queued = 1;
     l->queued++;
     return SP_TURN_WAIT;
@@ -81,7 +81,7 @@
 static void
 unqueue(SpLimiter *l, SpTurn *t)
 {
-    g_queue_unlink(&l->queue[t->rank], &t->link);
+    g_queue_unlink(&l->queue[t->lane], &t->link);
     t->queued = 0;
     l->queued--;
 }
@@ -95,7 +95,7 @@
     if (l->running >= (int)l->limit) {
         return NULL;
     }
-    for (i = 0; i < SP_MAX_RANKS; i++) {
+    for (i = 0; i < SP_LANES; i++) {
         if (l->queue[i].head) {
             t = l->queue[i].head->data;
             unqueue(l, t);
@@ -114,7 +114,7 @@
     GList *k;
     int i;
 
-    for (i = 0; i < SP_MAX_RANKS; i++) {
+    for (i = 0; i < SP_LANES; i++) {
         for (k = l->queue[i].head; k; k = k->next) {
             SpTurn *t = k->data;
             if (t->deadline - now < need) {
--- a/relay/adapter.h
+++ b/relay/adapter.h
@@ -16,9 +16,11 @@
 
 /* What a caller's request says of itself. Strings live in the message. */
 typedef struct SpAsk {
-    const char *id;   /* of this attempt; NULL if missing or unusable */
-    const char *host; /* with or without a port; NULL if missing */
-    int64_t left_us;  /* how long the caller waits; 0 if it does not say */
+    const char *id;          /* of this attempt; NULL if missing or unusable */
+    const char *host;        /* with or without a port; NULL if missing */
+    char parent[SP_ID_ROOM]; /* id of the attempt whose run makes this call;
+                                empty if the request does not tell */
+    int64_t left_us; /* how long the caller waits; 0 if it does not say */
 } SpAsk;
 
 /* What an instance's answer says beside its status and body. */
@@ -35,9 +37,10 @@
     char addr[32];
     char service[SP_FLOW_NAME];
     SpInstPhase phase;
-    int partial; /* 1: only id and phase (and start_ms) are given */
-    int slots;   /* requests that it runs at a time */
-    int64_t seq; /* grows with each report of one lifetime */
+    int has_start; /* 1: start_ms is given */
+    int partial;   /* 1: only id and phase (and start_ms) are given */
+    int slots;     /* requests that it runs at a time */
+    int64_t seq;   /* grows with each report of one lifetime */
     int64_t
         start_ms; /* wall clock of its start: a later one, a new lifetime */
     int64_t warmup_us; /* how much longer it is slow after its start */
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -22,6 +22,8 @@
     const SpPathRoute *route;
     const char *service;
     int64_t arrived, deadline;
+    int rank;
+    int begun; /* 1: it is a call of a run */
     GString *head;
     SpUpstream *tried[MAX_TRIES];
     int ntried;
@@ -137,7 +139,8 @@
 {
     Relay *n = c->n;
     JobOpts o = {.id = c->id,
-                 .rank = c->route->rank,
+                 .rank = c->rank,
+                 .begun = c->begun,
                  .idempotent = c->route->idempotent,
                  .left_us = c->deadline - SpHttp_Now(),
                  .service = c->service,
@@ -177,6 +180,19 @@
     return 1;
 }
 
+static void
+take_own_load(Relay *n, int64_t now)
+{
+    Load l = own_load(n, now);
+
+    n->self.ready = l.ready;
+    n->self.busy = l.busy;
+    n->self.mine_told = n->self.mine;
+    n->self.limit = l.limit;
+    n->self.run_us = l.run_us;
+    n->self.level = l.level;
+}
+
 static void
 place(Call *c)
 {
@@ -189,7 +205,7 @@
             give_up(c, SP_LATE);
             return;
         }
-        c->n->self.ready = own_load(c->n, now).ready;
+        take_own_load(c->n, now);
         u = SpChooser_Pick((SpUpstream *const *)s->ups->pdata, s->ups->len,
                            now, c->tried, c->ntried, &c->n->rand);
         if (!u) {
@@ -293,6 +309,36 @@
     return 1;
 }
 
+/* A call of a run in the own instance goes by the rank and the deadline of
+   the request that it serves. */
+static void
+follow_parent(Call *c, const SpAsk *a)
+{
+    Job *j =
+        a->parent[0] ? g_hash_table_lookup(c->n->jobs_by_id, a->parent) : NULL;
+
+    c->rank = c->route->rank;
+    if (!j) {
+        return;
+    }
+    c->begun = 1;
+    c->rank = j->turn.rank;
+    c->deadline = MIN(c->deadline, j->turn.deadline);
+    service_of(c->n, c->service)->called_at = c->arrived;
+}
+
+/* New work that the services on its path have no room for is turned away
+   before any of it is done. */
+static int
+is_admitted(Call *c)
+{
+    Relay *n = c->n;
+    double level = level_of(service_of(n, c->service));
+
+    return c->begun ||
+           SpRand_Unit(&n->rand) < SpAdmission_Share(level, c->rank);
+}
+
 static void
 on_call(void *ctx, SpHttpReq *req)
 {
@@ -317,6 +363,11 @@
     if (c->route->timeout_us > 0) {
         c->deadline = MIN(c->deadline, c->arrived + c->route->timeout_us);
     }
+    follow_parent(c, &a);
+    if (!is_admitted(c)) {
+        refuse(c, SP_SHED);
+        return;
+    }
     c->head = g_string_sized_new(512);
     n->ad->write_head(c->head, c->msg, n->set.service);
     SpRetryBudget_First(&service_of(n, c->service)->retries, c->arrived);
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -46,6 +46,7 @@
 
     l.ready = closed_for(n, now) == SP_OK && !n->inst.leave_at && !n->stop_at;
     l.busy = n->lim.running + n->lim.queued;
+    l.level = MIN(n->level.level, level_behind(n, now));
     l.limit = n->lim.limit;
     l.run_us = n->lim.run_us;
     return l;
@@ -58,6 +59,9 @@
 static void
 free_job(Job *j)
 {
+    if (g_hash_table_lookup(j->n->jobs_by_id, j->id) == j) {
+        g_hash_table_remove(j->n->jobs_by_id, j->id);
+    }
     g_queue_unlink(&j->n->jobs, &j->node);
     if (j->head) {
         g_string_free(j->head, TRUE);
@@ -203,10 +207,12 @@
     j->seq = o->seq;
     j->turn.user = j;
     j->turn.rank = o->rank;
+    j->turn.begun = o->begun;
     j->turn.deadline = now + o->left_us;
     j->node.data = j;
     g_strlcpy(j->id, o->id, sizeof j->id);
     g_queue_push_tail_link(&n->jobs, &j->node);
+    g_hash_table_insert(n->jobs_by_id, j->id, j);
     if (strcmp(o->service, n->set.service) != 0) {
         k = SP_NO_ROUTE;
     }
@@ -300,6 +306,8 @@
     SpKind k = closed_for(n, now);
     SpTurn *t;
 
+    SpAdmission_Update(&n->level, now, SpLimiter_Wait(&n->lim, SP_LANES),
+                       n->lim.running / n->lim.limit);
     check_runs(n, now);
     while ((t = SpLimiter_Late(&n->lim, now)) != NULL) {
         refuse_job(t->user, SP_LATE);
@@ -322,6 +330,9 @@
     if (!i->known) {
         return 0;
     }
+    if (r->partial && !r->has_start) {
+        return strcmp(r->id, i->last.id) != 0;
+    }
     if (r->start_ms != i->last.start_ms) {
         return r->start_ms < i->last.start_ms;
     }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -65,6 +65,7 @@
     int busy;
     double limit;
     double run_us;
+    double level; /* that it and the services it calls admit */
 } Load;
 
 /* A request at the node beside its instance. */
@@ -89,6 +90,7 @@
 typedef struct JobOpts {
     const char *id;
     int rank;
+    int begun; /* 1: a run waits for it */
     int idempotent;
     int64_t left_us;
     const char *service;
@@ -115,6 +117,7 @@
     char name[SP_FLOW_NAME];
     GPtrArray *ups; /* of SpUpstream */
     SpRetryBudget retries;
+    int64_t called_at; /* last call of the own instance to it */
 } Service;
 
 typedef struct RelayCounters {
@@ -131,7 +134,9 @@
     SpRoutes *routes;
     Instance inst;
     SpLimiter lim;
+    SpAdmission level;
     SpUpstream self;
+    GHashTable *jobs_by_id;
     GQueue jobs;          /* of Job */
     GQueue calls;         /* of Call */
     GHashTable *services; /* name to Service */
@@ -152,6 +157,10 @@
 void take_config(Relay *n, const char *p, size_t len, const char *from);
 Service *service_of(Relay *n, const char *name);
 int is_relay_ready(const Relay *n);
+/* level_of is the level of a service, level_behind the least of those that
+   the own instance calls. */
+double level_of(const Service *s);
+double level_behind(const Relay *n, int64_t now);
 
 /* instance.c */
 int listen_reports(Relay *n, GError **err);
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -13,6 +13,12 @@
 /* The rest of the bound of a stop is kept for the process to end. */
 #define STOP_SLACK_US (600 * SP_MS)
 /* A node that just started waits so long for its links. */
+/* A service counts as called by the own instance for so long. */
+#define CALLED_US (2 * SP_SEC)
+/* Retries of one hop; the chain below it repeats them on each of its own. */
+#define HOP_SHARE 0.22
+/* Part of the slack that the nodes share; the rest covers their lag. */
+#define SLACK_SHARE 0.5
 #define SETTLE_US (1500 * SP_MS)
 
 static const SpAdapter *const adapters[] = {&SpPlatform_Adapter};
@@ -32,7 +38,7 @@
 service_of(Relay *n, const char *name)
 {
     Service *s = g_hash_table_lookup(n->services, name);
-    SpRetryOpts o = {n->set.retry_ratio, n->set.retry_slack,
+    SpRetryOpts o = {n->set.retry_ratio * HOP_SHARE, 0,
                      (int64_t)(n->set.retry_window_s * SP_SEC)};
 
     if (!s) {
@@ -45,6 +51,39 @@
     return s;
 }
 
+double
+level_of(const Service *s)
+{
+    double sum = 0;
+    guint i, ready = 0;
+
+    for (i = 0; i < s->ups->len; i++) {
+        const SpUpstream *u = g_ptr_array_index(s->ups, i);
+        if (u->ready) {
+            sum += u->level;
+            ready++;
+        }
+    }
+    return ready ? sum / ready : SP_MAX_RANKS;
+}
+
+double
+level_behind(const Relay *n, int64_t now)
+{
+    double level = SP_MAX_RANKS;
+    GHashTableIter it;
+    gpointer p;
+
+    g_hash_table_iter_init(&it, n->services);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        const Service *s = p;
+        if (s->called_at && now - s->called_at < CALLED_US) {
+            level = MIN(level, level_of(s));
+        }
+    }
+    return level;
+}
+
 static void
 apply_limits(Relay *n)
 {
@@ -76,6 +115,7 @@
           n->routes ? n->routes->version : 0, from, SpRoutes_Count(rs));
     SpRoutes_Unref(n->routes);
     n->routes = rs;
+    SpAdmission_SetTop(&n->level, rs->ranks);
     apply_limits(n);
     tell_links(n);
 }
@@ -123,6 +163,20 @@
     }
 }
 
+/* The slack of the retry budget belongs to all nodes together. */
+static void
+share_slack(Relay *n)
+{
+    double slack = n->set.retry_slack * SLACK_SHARE / (count_links(n) + 1);
+    GHashTableIter it;
+    gpointer s;
+
+    g_hash_table_iter_init(&it, n->services);
+    while (g_hash_table_iter_next(&it, NULL, &s)) {
+        SpRetryBudget_SetSlack(&((Service *)s)->retries, slack);
+    }
+}
+
 static void
 on_tick(uv_timer_t *t)
 {
@@ -130,6 +184,7 @@
     int64_t now = SpHttp_Now();
 
     n->ticked = now;
+    share_slack(n);
     tick_store(n, now);
     tick_instance(n, now);
     tick_calls(n, now);
@@ -210,7 +265,9 @@
     n->services = g_hash_table_new(g_str_hash, g_str_equal);
     g_queue_init(&n->jobs);
     g_queue_init(&n->calls);
+    n->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
     SpLimiter_Init(&n->lim);
+    SpAdmission_Init(&n->level);
     n->http = SpHttp_New(n->loop, &limits);
     g_strlcpy(po.addr, n->set.instance, sizeof po.addr);
     n->pool = SpPool_New(n->loop, &po);
