Admission by shares of the offered work; retries only next to the failure

Cause: the level went from all to nothing and back within seconds (queues of 70 to 138, then idle slots), since it was blind to how much work each rank brings. Runs whose call had failed were repeated as a whole, which spent the retry budget where it could not help.

Change: a gate takes the arrivals by rank over the share admitted as the offered work and fills its limit in the order of ranks, with a least share for each. A run with a failed call is not repeated; the calls of a repeated run count as repeats, so that one hop may use three quarters of the ratio.

--- a/flow/admission.c
+++ b/flow/admission.c
@@ -1,64 +1,135 @@
 /*
- * The level: how much new work a service admits, as the queue at its
- * instances tells.
+ * Admission: which share of the new work of each rank a service takes.
  *
- * It lies between 0 and the number of ranks. The part of it that reaches
- * into a rank is the share of that rank's requests that is admitted, down to
- * a floor, so that no kind of work is starved. It falls in proportion to how
- * far the wait is above its target and rises slowly while there is room.
+ * The node beside an instance counts the work that arrives, rank by rank, and
+ * takes it for the admitted share of what is offered. It fills the capacity
+ * of the instance with the ranks in their order, after a least share for
+ * each, so that no kind of work is starved. Room is kept to work off a queue.
  */
+#include <string.h>
+
 #include "flow/flow.h"
 
-/* The wait in the queue that is aimed at. */
-#define TARGET_US (15.0 * SP_MS)
-/* Fall of the level in a second, for each target that the wait is above. */
-#define FALL_PER_S 0.5
-#define MAX_EXCESS 6.0
-/* Rise of the level in a second while few run, and while many do. */
-#define RISE_FREE 0.8
-#define RISE_BUSY 0.25
-#define BUSY_SHARE 0.85
+#define STEP_US (100 * SP_MS)
+/* Weight of one step in what is smoothed. */
+#define STEP_WEIGHT 0.15
+/* The share of the limit that may be filled. */
+#define FILL 0.96
+/* A queue longer than this share of the limit is worked off in DRAIN_US. */
+#define QUEUE_SHARE 0.3
+#define DRAIN_US (500.0 * SP_MS)
 /* The least share of a rank that is admitted. */
 #define FLOOR 0.3
-/* Steps over a longer time than this are cut. */
-#define MAX_STEP_US (200 * SP_MS)
+#define LEAST_SHARE 0.02
 
-void
-SpAdmission_Init(SpAdmission *lv)
+static const SpShares all = {{1, 1, 1, 1}};
+
+SpShares
+SpShares_All(void)
 {
-    lv->top = lv->level = SP_MAX_RANKS;
-    lv->at = 0;
+    return all;
 }
 
 void
-SpAdmission_Update(SpAdmission *lv, int64_t now, int64_t wait_us, double busy)
+SpShares_Min(SpShares *s, const SpShares *t)
+{
+    int i;
+
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        s->of[i] = MIN(s->of[i], t->of[i]);
+    }
+}
+
+uint32_t
+SpShares_Pack(const SpShares *s)
 {
-    double dt = (double)MIN(now - lv->at, MAX_STEP_US) / SP_SEC;
-    double excess = (double)wait_us / TARGET_US - 1;
+    uint32_t v = 0;
+    int i;
 
-    lv->at = now;
-    if (excess > 0) {
-        lv->level -= FALL_PER_S * MIN(excess, MAX_EXCESS) * dt;
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        v = v << 8 | (uint32_t)(CLAMP(s->of[i], 0.0, 1.0) * 255 + 0.5);
     }
-    else if (excess < -0.5) {
-        lv->level += (busy < BUSY_SHARE ? RISE_FREE : RISE_BUSY) * dt;
+    return v;
+}
+
+SpShares
+SpShares_Unpack(uint32_t v)
+{
+    SpShares s;
+    int i;
+
+    for (i = SP_MAX_RANKS - 1; i >= 0; i--) {
+        s.of[i] = (v & 255) / 255.0;
+        v >>= 8;
     }
-    lv->level = CLAMP(lv->level, 0.0, lv->top);
+    return s;
+}
+
+void
+SpAdmission_Init(SpAdmission *a)
+{
+    memset(a, 0, sizeof *a);
+    a->shares = a->used = all;
 }
 
 void
-SpAdmission_SetTop(SpAdmission *lv, int ranks)
+SpAdmission_Arrived(SpAdmission *a, int rank)
+{
+    a->arrived[CLAMP(rank, 0, SP_MAX_RANKS - 1)]++;
+}
+
+/* What is offered, in slots: the arrivals over the share admitted. */
+static double
+offered(SpAdmission *a, double run_us, const SpShares *in_force)
+{
+    double sum = 0, now;
+    int i;
+
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        now = a->arrived[i] * run_us / STEP_US;
+        a->arrived[i] = 0;
+        a->work[i] += STEP_WEIGHT * (now - a->work[i]);
+        a->used.of[i] += STEP_WEIGHT * (in_force->of[i] - a->used.of[i]);
+        a->offered[i] = a->work[i] / MAX(a->used.of[i], LEAST_SHARE);
+        sum += a->offered[i];
+    }
+    return sum;
+}
+
+static void
+fill_ranks(SpAdmission *a, double room, double sum)
 {
-    int full = lv->level >= lv->top;
+    double floor = MIN(FLOOR, sum > 0 ? FLOOR * room / (FLOOR * sum) : 1);
+    int i;
 
-    lv->top = CLAMP(ranks, 1, SP_MAX_RANKS);
-    lv->level = full ? lv->top : MIN(lv->level, lv->top);
+    room -= floor * sum;
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        double rest = (1 - floor) * a->offered[i];
+        double take = CLAMP(room, 0.0, rest);
+        room -= take;
+        a->shares.of[i] = rest > 0 ? floor + (1 - floor) * take / rest : 1;
+    }
 }
 
-double
-SpAdmission_Share(double level, int rank)
+int
+SpAdmission_Step(SpAdmission *a, int64_t now, const SpLimiter *l,
+                 const SpShares *in_force)
 {
-    double part = level - MIN(rank, SP_MAX_RANKS - 1);
+    double sum, room;
 
-    return FLOOR + (1 - FLOOR) * CLAMP(part, 0.0, 1.0);
+    if (now - a->at < STEP_US) {
+        return 0;
+    }
+    a->at = now;
+    sum = offered(a, l->run_us, in_force);
+    room = FILL * l->limit -
+           MAX(0, l->queued - l->limit * QUEUE_SHARE) * l->run_us / DRAIN_US;
+    a->room = room;
+    if (sum <= room) {
+        a->shares = all;
+    }
+    else {
+        fill_ranks(a, MAX(room, 0), sum);
+    }
+    return 1;
 }
--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -10,6 +10,9 @@
 #define UNKNOWN_RUN_US (30.0 * SP_MS)
 /* Random part of a cost, so that many nodes do not choose alike. */
 #define NOISE 0.1
+/* Beyond this share of the limit, a queue is near: what a full one costs. */
+#define NEARLY_FULL 0.85
+#define FULL_US (40.0 * SP_MS)
 #define MAX_FAILS 3
 #define BAD_US (1 * SP_SEC)
 
@@ -37,8 +40,8 @@
         run = UNKNOWN_RUN_US;
     }
     cost = run * (1 + over * over * over);
-    if (busy > limit) {
-        cost += run * (busy - limit) / limit * 2;
+    if (over > NEARLY_FULL) {
+        cost += FULL_US * (over - NEARLY_FULL) / (1 - NEARLY_FULL);
     }
     return u->near ? cost : cost + FAR_US;
 }
@@ -108,8 +111,9 @@
 }
 
 void
-SpRetryBudget_SetSlack(SpRetryBudget *b, double slack)
+SpRetryBudget_Set(SpRetryBudget *b, double ratio, double slack)
 {
+    b->o.ratio = ratio;
     b->o.slack = slack;
 }
 
@@ -135,6 +139,12 @@
     b->first[turn_to(b, now)]++;
 }
 
+void
+SpRetryBudget_Again(SpRetryBudget *b, int64_t now)
+{
+    b->again[turn_to(b, now)]++;
+}
+
 int
 SpRetryBudget_Take(SpRetryBudget *b, int64_t now)
 {
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -53,7 +53,6 @@
     GHashTable *services; /* name to the connections an instance accepts */
     char *text;           /* as it was published */
     size_t text_len;
-    int ranks; /* one more than the highest rank in use */
     int refs;
 } SpRoutes;
 
@@ -112,23 +111,38 @@
 int64_t SpLimiter_Wait(const SpLimiter *l, int lane);
 
 /*
- * Level: how much new work a service admits.
+ * Admission: which share of the new work of each rank a service takes.
  */
+typedef struct SpShares {
+    double of[SP_MAX_RANKS]; /* 0 to 1 */
+} SpShares;
+
+SpShares SpShares_All(void);
+/* SpShares_Min lowers each share of s to that of t. */
+void SpShares_Min(SpShares *s, const SpShares *t);
+/* Shares as one number, in 255ths, for messages between nodes. */
+uint32_t SpShares_Pack(const SpShares *s);
+SpShares SpShares_Unpack(uint32_t v);
+
 typedef struct SpAdmission {
-    double level;
-    double top; /* number of ranks in use */
+    SpShares shares;              /* what this instance takes */
+    SpShares used;                /* smoothed: what was admitted lately */
+    double arrived[SP_MAX_RANKS]; /* requests since the last step */
+    double work[SP_MAX_RANKS];    /* slots that the arrivals fill */
+    double offered[SP_MAX_RANKS]; /* slots that all new work would fill */
+    double room;                  /* slots for new work, as of the last step */
     int64_t at;
 } SpAdmission;
 
-void SpAdmission_Init(SpAdmission *lv);
-/* SpAdmission_SetTop tells the number of ranks that the configuration uses. */
-void SpAdmission_SetTop(SpAdmission *lv, int ranks);
-/* SpAdmission_Update: wait_us is the time to empty the queue, busy the share
-   of the limit that runs. */
-void SpAdmission_Update(SpAdmission *lv, int64_t now, int64_t wait_us,
-                        double busy);
-/* SpAdmission_Share is the share of a rank's requests that a level admits. */
-double SpAdmission_Share(double level, int rank);
+void SpAdmission_Init(SpAdmission *a);
+/* SpAdmission_Arrived counts a request that reached the node. */
+void SpAdmission_Arrived(SpAdmission *a, int rank);
+/*
+ * SpAdmission_Step works the shares out anew; in_force are those by which
+ * the entries admit now. It does nothing (and returns 0) if called too often.
+ */
+int SpAdmission_Step(SpAdmission *a, int64_t now, const SpLimiter *l,
+                     const SpShares *in_force);
 
 /*
  * Chooser: which instance of a service takes the next request.
@@ -137,13 +151,13 @@
     char name[SP_FLOW_NAME]; /* of the node beside it */
     int near;                /* 1: in the own zone */
     int ready;
-    double limit;  /* requests that it runs at a time */
-    int busy;      /* running and waiting there, as last told */
-    double level;  /* that it and what lies behind it admit */
-    int mine;      /* sent from here and not answered */
-    int mine_told; /* mine when busy was told */
-    double run_us; /* smoothed, as last told */
-    int fails;     /* in a row */
+    double limit;    /* requests that it runs at a time */
+    int busy;        /* running and waiting there, as last told */
+    SpShares shares; /* that it and what lies behind it admit */
+    int mine;        /* sent from here and not answered */
+    int mine_told;   /* mine when busy was told */
+    double run_us;   /* smoothed, as last told */
+    int fails;       /* in a row */
     int64_t bad_until;
     int64_t told_at;
     void *user;
@@ -181,9 +195,11 @@
 
 void SpRetryBudget_Init(SpRetryBudget *b, const SpRetryOpts *o);
 void SpRetryBudget_First(SpRetryBudget *b, int64_t now);
+/* SpRetryBudget_Again counts a send that a retry further up has caused. */
+void SpRetryBudget_Again(SpRetryBudget *b, int64_t now);
 /* SpRetryBudget_Take returns 1 and counts it if one more retry fits. */
 int SpRetryBudget_Take(SpRetryBudget *b, int64_t now);
-/* SpRetryBudget_SetSlack: it is shared by all nodes, whose number varies. */
-void SpRetryBudget_SetSlack(SpRetryBudget *b, double slack);
+/* SpRetryBudget_Set: the bounds of this node vary with the number of nodes. */
+void SpRetryBudget_Set(SpRetryBudget *b, double ratio, double slack);
 
 #endif
--- a/flow/routes.c
+++ b/flow/routes.c
@@ -70,7 +70,6 @@
     char host[sizeof r->host];
     GPtrArray *list;
 
-    rs->ranks = MAX(rs->ranks, r->rank + 1);
     fold_host(host, sizeof host, r->host);
     list = g_hash_table_lookup(rs->hosts, host);
     if (!list) {
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -23,12 +23,15 @@
     const char *service;
     int64_t arrived, deadline;
     int rank;
-    int begun; /* 1: it is a call of a run */
+    int begun;               /* 1: it is a call of a run */
+    int again;               /* 1: that run is a retry, or this send is one */
+    char parent[SP_ID_ROOM]; /* the request of that run */
     GString *head;
     SpUpstream *tried[MAX_TRIES];
     int ntried;
     int reached; /* instances at which it arrived */
     int maybe_ran;
+    int below;      /* 1: a call of its run failed */
     SpUpstream *at; /* where it is now; NULL between sends */
     Job *job;       /* at the own instance */
     uint64_t seq;   /* at another node */
@@ -42,6 +45,24 @@
     return c->at;
 }
 
+static Job *
+parent_of(const Call *c)
+{
+    return c->parent[0] ? g_hash_table_lookup(c->n->jobs_by_id, c->parent)
+                        : NULL;
+}
+
+/* A run whose call has failed will not be mended by running it elsewhere. */
+static void
+tell_parent(const Call *c)
+{
+    Job *j = parent_of(c);
+
+    if (j) {
+        j->below = 1;
+    }
+}
+
 static void
 free_call(Call *c)
 {
@@ -87,6 +108,7 @@
           c->service ? c->service : "-", SpKind_Info(k)->name, status,
           (now - c->arrived) / SP_MS, (c->deadline - now) / SP_MS, c->ntried,
           c->reached, c->routes ? c->routes->version : 0);
+    tell_parent(c);
     g_snprintf(body, sizeof body, "%s\n", SpKind_Info(k)->name);
     SpHttp_Answer(c->req, status, lines, body, strlen(body));
     free_call(c);
@@ -141,6 +163,7 @@
     JobOpts o = {.id = c->id,
                  .rank = c->rank,
                  .begun = c->begun,
+                 .again = c->again || c->reached > 0,
                  .idempotent = c->route->idempotent,
                  .left_us = c->deadline - SpHttp_Now(),
                  .service = c->service,
@@ -190,7 +213,7 @@
     n->self.mine_told = n->self.mine;
     n->self.limit = l.limit;
     n->self.run_us = l.run_us;
-    n->self.level = l.level;
+    n->self.shares = l.shares;
 }
 
 static void
@@ -227,6 +250,7 @@
 
     c->n->n.answered++;
     if (r->status >= 500) {
+        tell_parent(c);
         SpLog(SP_LOG_INFO, "call-failed",
               "id=%s route=%s service=%s at=%s status=%d ms=%" PRId64, c->id,
               c->route->name, c->service, c->tried[c->ntried - 1]->name,
@@ -240,7 +264,7 @@
 static int
 may_retry(Call *c)
 {
-    if (c->reached >= c->route->attempts ||
+    if (c->below || c->reached >= c->route->attempts ||
         (c->maybe_ran && !c->route->idempotent)) {
         return 0;
     }
@@ -260,6 +284,7 @@
     SpUpstream_Ended(u, SpHttp_Now(),
                      r->outcome == SP_NOT_RUN && !r->reached ? 1 : ok);
     c->reached += r->reached;
+    c->below |= r->below;
     if (r->outcome != SP_NOT_RUN) {
         c->maybe_ran = 1;
     }
@@ -314,14 +339,17 @@
 static void
 follow_parent(Call *c, const SpAsk *a)
 {
-    Job *j =
-        a->parent[0] ? g_hash_table_lookup(c->n->jobs_by_id, a->parent) : NULL;
+    Job *j;
 
+    g_strlcpy(c->parent, a->parent, sizeof c->parent);
+    j = parent_of(c);
     c->rank = c->route->rank;
     if (!j) {
         return;
     }
     c->begun = 1;
+    c->again = j->again;
+    c->n->knows_parents = 1;
     c->rank = j->turn.rank;
     c->deadline = MIN(c->deadline, j->turn.deadline);
     service_of(c->n, c->service)->called_at = c->arrived;
@@ -333,10 +361,21 @@
 is_admitted(Call *c)
 {
     Relay *n = c->n;
-    double level = level_of(service_of(n, c->service));
+    SpShares s = shares_of(service_of(n, c->service));
 
     return c->begun ||
-           SpRand_Unit(&n->rand) < SpAdmission_Share(level, c->rank);
+           SpRand_Unit(&n->rand) < s.of[CLAMP(c->rank, 0, SP_MAX_RANKS - 1)];
+}
+
+static void
+count_send(const Call *c)
+{
+    SpRetryBudget *b = &service_of(c->n, c->service)->retries;
+
+    SpRetryBudget_First(b, c->arrived);
+    if (c->again) {
+        SpRetryBudget_Again(b, c->arrived);
+    }
 }
 
 static void
@@ -370,7 +409,7 @@
     }
     c->head = g_string_sized_new(512);
     n->ad->write_head(c->head, c->msg, n->set.service);
-    SpRetryBudget_First(&service_of(n, c->service)->retries, c->arrived);
+    count_send(c);
     place(c);
 }
 
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -46,7 +46,8 @@
 
     l.ready = closed_for(n, now) == SP_OK && !n->inst.leave_at && !n->stop_at;
     l.busy = n->lim.running + n->lim.queued;
-    l.level = MIN(n->level.level, level_behind(n, now));
+    l.shares = shares_behind(n, now);
+    SpShares_Min(&l.shares, &n->admission.shares);
     l.limit = n->lim.limit;
     l.run_us = n->lim.run_us;
     return l;
@@ -132,6 +133,7 @@
         r.kind = reply.not_run ? SP_THROTTLED : SP_OK;
         r.outcome = reply.not_run ? SP_NOT_RUN : SP_DONE;
         r.status = m->status;
+        r.below = j->below;
         r.lines = lines->str;
         r.lines_len = lines->len;
         r.body = m->body;
@@ -201,6 +203,7 @@
 
     j->n = n;
     j->idempotent = o->idempotent;
+    j->again = o->again;
     j->head = o->head;
     j->done = o->done;
     j->owner = o->owner;
@@ -226,6 +229,7 @@
         j->own_body = g_memdup2(o->body, o->body_len);
         j->body = j->own_body;
     }
+    SpAdmission_Arrived(&n->admission, j->turn.rank);
     switch (SpLimiter_Offer(&n->lim, now, &j->turn)) {
     case SP_TURN_RUN:
         run_job(j);
@@ -304,10 +308,11 @@
 tick_instance(Relay *n, int64_t now)
 {
     SpKind k = closed_for(n, now);
+    SpShares in_force;
     SpTurn *t;
 
-    SpAdmission_Update(&n->level, now, SpLimiter_Wait(&n->lim, SP_LANES),
-                       n->lim.running / n->lim.limit);
+    in_force = shares_of(service_of(n, n->set.service));
+    SpAdmission_Step(&n->admission, now, &n->lim, &in_force);
     check_runs(n, now);
     while ((t = SpLimiter_Late(&n->lim, now)) != NULL) {
         refuse_job(t->user, SP_LATE);
--- a/relay/link.c
+++ b/relay/link.c
@@ -247,7 +247,7 @@
     put_uint(f, (uint64_t)l.busy);
     put_real(f, l.limit);
     put_real(f, l.run_us);
-    put_real(f, l.level);
+    put_uint(f, SpShares_Pack(&l.shares));
     put_uint(f, n->routes ? n->routes->version : 0);
 }
 
@@ -320,7 +320,7 @@
     l.busy = (int)get_uint(f);
     l.limit = get_real(f);
     l.run_us = get_real(f);
-    l.level = get_real(f);
+    l.shares = SpShares_Unpack((uint32_t)get_uint(f));
     version = get_uint(f);
     if (f->bad || !w->peer) {
         return;
@@ -330,7 +330,7 @@
     u->busy = l.busy;
     u->limit = l.limit;
     u->run_us = l.run_us;
-    u->level = l.level;
+    u->shares = l.shares;
     u->mine_told = u->mine;
     u->told_at = w->heard_at;
     note_version(w, version);
@@ -418,18 +418,19 @@
     FrameOut f;
 
     g_hash_table_remove(w->jobs, &j->seq);
-    begin_frame(&f, w->out, FRAME_ANSWER, 11);
+    begin_frame(&f, w->out, FRAME_ANSWER, 12);
     put_uint(&f, j->seq);
     put_uint(&f, r->kind);
     put_uint(&f, r->outcome);
     put_uint(&f, (uint64_t)r->reached);
+    put_uint(&f, (uint64_t)r->below);
     put_uint(&f, (uint64_t)r->status);
     put_bin(&f, r->lines, r->lines_len);
     put_bin(&f, r->body, r->body_len);
     put_uint(&f, (uint64_t)l.busy);
     put_real(&f, l.limit);
     put_real(&f, l.run_us);
-    put_real(&f, l.level);
+    put_uint(&f, SpShares_Pack(&l.shares));
     end_frame(&f);
 }
 
@@ -448,6 +449,7 @@
     get_str(f, service, sizeof service);
     o.rank = (int)get_uint(f);
     o.begun = (int)get_uint(f);
+    o.again = (int)get_uint(f);
     o.idempotent = (int)get_uint(f);
     o.left_us = get_int(f);
     head = get_bin(f, &head_len);
@@ -494,6 +496,7 @@
     r.kind = (SpKind)get_uint(f);
     r.outcome = (SpOutcome)get_uint(f);
     r.reached = (int)get_uint(f);
+    r.below = (int)get_uint(f);
     r.status = (int)get_uint(f);
     r.lines = get_bin(f, &r.lines_len);
     r.body = get_bin(f, &r.body_len);
@@ -503,7 +506,7 @@
     w->peer->up.busy = (int)get_uint(f);
     w->peer->up.limit = get_real(f);
     w->peer->up.run_us = get_real(f);
-    w->peer->up.level = get_real(f);
+    w->peer->up.shares = SpShares_Unpack((uint32_t)get_uint(f));
     w->peer->up.mine_told = w->peer->up.mine;
     c = g_hash_table_lookup(w->peer->calls, &seq);
     if (c) {
@@ -583,12 +586,13 @@
     key = g_new(uint64_t, 1);
     *key = ++p->seq;
     g_hash_table_insert(p->calls, key, c);
-    begin_frame(&f, w->out, FRAME_CALL, 9);
+    begin_frame(&f, w->out, FRAME_CALL, 10);
     put_uint(&f, *key);
     put_str(&f, o->id);
     put_str(&f, o->service);
     put_uint(&f, (uint64_t)o->rank);
     put_uint(&f, (uint64_t)o->begun);
+    put_uint(&f, (uint64_t)o->again);
     put_uint(&f, (uint64_t)o->idempotent);
     put_int(&f, o->left_us);
     put_bin(&f, o->head->str, o->head->len);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -52,6 +52,7 @@
     SpKind kind; /* SP_OK: the instance's answer is given */
     SpOutcome outcome;
     int reached; /* 1: it arrived at the instance */
+    int below;   /* 1: a call of the run failed */
     int status;
     const char *lines; /* header lines */
     size_t lines_len;
@@ -65,7 +66,7 @@
     int busy;
     double limit;
     double run_us;
-    double level; /* that it and the services it calls admit */
+    SpShares shares; /* that it and the services it calls admit */
 } Load;
 
 /* A request at the node beside its instance. */
@@ -75,6 +76,8 @@
     SpExchange *x;
     char id[SP_ID_ROOM];
     int idempotent;
+    int again;
+    int below; /* 1: a call of its run has failed */
     int64_t started;
     GString *head; /* owned; without the headers of the last hop */
     const char *body;
@@ -91,6 +94,7 @@
     const char *id;
     int rank;
     int begun; /* 1: a run waits for it */
+    int again; /* 1: a retry, or the call of a run that is one */
     int idempotent;
     int64_t left_us;
     const char *service;
@@ -134,9 +138,10 @@
     SpRoutes *routes;
     Instance inst;
     SpLimiter lim;
-    SpAdmission level;
+    SpAdmission admission;
     SpUpstream self;
     GHashTable *jobs_by_id;
+    int knows_parents;    /* 1: calls name the requests they serve */
     GQueue jobs;          /* of Job */
     GQueue calls;         /* of Call */
     GHashTable *services; /* name to Service */
@@ -147,6 +152,8 @@
     int64_t started;
     int64_t stop_at; /* 0 while not stopping */
     int64_t ticked;
+    int64_t logged_at; /* of the load */
+    uint64_t logged_jobs;
     uv_timer_t tick;
     uv_prepare_t prepare;
     uv_signal_t term, intr, hup;
@@ -157,10 +164,10 @@
 void take_config(Relay *n, const char *p, size_t len, const char *from);
 Service *service_of(Relay *n, const char *name);
 int is_relay_ready(const Relay *n);
-/* level_of is the level of a service, level_behind the least of those that
+/* shares_of is what a service admits, shares_behind the least of those that
    the own instance calls. */
-double level_of(const Service *s);
-double level_behind(const Relay *n, int64_t now);
+SpShares shares_of(const Service *s);
+SpShares shares_behind(const Relay *n, int64_t now);
 
 /* instance.c */
 int listen_reports(Relay *n, GError **err);
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -17,8 +17,11 @@
 #define CALLED_US (2 * SP_SEC)
 /* Retries of one hop; the chain below it repeats them on each of its own. */
 #define HOP_SHARE 0.22
+/* The same where the calls of a repeated run are known and counted. */
+#define KNOWN_SHARE 0.75
 /* Part of the slack that the nodes share; the rest covers their lag. */
 #define SLACK_SHARE 0.5
+#define LOAD_LOG_US (1 * SP_SEC)
 #define SETTLE_US (1500 * SP_MS)
 
 static const SpAdapter *const adapters[] = {&SpPlatform_Adapter};
@@ -38,8 +41,7 @@
 service_of(Relay *n, const char *name)
 {
     Service *s = g_hash_table_lookup(n->services, name);
-    SpRetryOpts o = {n->set.retry_ratio * HOP_SHARE, 0,
-                     (int64_t)(n->set.retry_window_s * SP_SEC)};
+    SpRetryOpts o = {0, 0, (int64_t)(n->set.retry_window_s * SP_SEC)};
 
     if (!s) {
         s = g_new0(Service, 1);
@@ -51,26 +53,31 @@
     return s;
 }
 
-double
-level_of(const Service *s)
+SpShares
+shares_of(const Service *s)
 {
-    double sum = 0;
-    guint i, ready = 0;
+    SpShares sum = {{0}};
+    guint i, k, ready = 0;
 
     for (i = 0; i < s->ups->len; i++) {
         const SpUpstream *u = g_ptr_array_index(s->ups, i);
         if (u->ready) {
-            sum += u->level;
+            for (k = 0; k < SP_MAX_RANKS; k++) {
+                sum.of[k] += u->shares.of[k];
+            }
             ready++;
         }
     }
-    return ready ? sum / ready : SP_MAX_RANKS;
+    for (k = 0; ready && k < SP_MAX_RANKS; k++) {
+        sum.of[k] /= ready;
+    }
+    return ready ? sum : SpShares_All();
 }
 
-double
-level_behind(const Relay *n, int64_t now)
+SpShares
+shares_behind(const Relay *n, int64_t now)
 {
-    double level = SP_MAX_RANKS;
+    SpShares least = SpShares_All(), one;
     GHashTableIter it;
     gpointer p;
 
@@ -78,10 +85,11 @@
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         const Service *s = p;
         if (s->called_at && now - s->called_at < CALLED_US) {
-            level = MIN(level, level_of(s));
+            one = shares_of(s);
+            SpShares_Min(&least, &one);
         }
     }
-    return level;
+    return least;
 }
 
 static void
@@ -115,7 +123,6 @@
           n->routes ? n->routes->version : 0, from, SpRoutes_Count(rs));
     SpRoutes_Unref(n->routes);
     n->routes = rs;
-    SpAdmission_SetTop(&n->level, rs->ranks);
     apply_limits(n);
     tell_links(n);
 }
@@ -165,16 +172,40 @@
 
 /* The slack of the retry budget belongs to all nodes together. */
 static void
-share_slack(Relay *n)
+share_budget(Relay *n)
 {
+    double ratio =
+        n->set.retry_ratio * (n->knows_parents ? KNOWN_SHARE : HOP_SHARE);
     double slack = n->set.retry_slack * SLACK_SHARE / (count_links(n) + 1);
     GHashTableIter it;
     gpointer s;
 
     g_hash_table_iter_init(&it, n->services);
     while (g_hash_table_iter_next(&it, NULL, &s)) {
-        SpRetryBudget_SetSlack(&((Service *)s)->retries, slack);
+        SpRetryBudget_Set(&((Service *)s)->retries, ratio, slack);
+    }
+}
+
+/* The state of the own instance, once a second while anything runs. */
+static void
+log_load(Relay *n, int64_t now)
+{
+    SpShares behind;
+
+    if (now - n->logged_at < LOAD_LOG_US || n->n.jobs == n->logged_jobs) {
+        return;
     }
+    behind = shares_behind(n, now);
+    SpLog(SP_LOG_INFO, "load",
+          "running=%d queued=%d limit=%.0f run_ms=%.1f room=%.1f "
+          "shares=%08" PRIx32 " behind=%08" PRIx32 " jobs=%" PRIu64
+          " refused=%" PRIu64 " retries=%" PRIu64 " opened=%" PRIu64,
+          n->lim.running, n->lim.queued, n->lim.limit, n->lim.run_us / SP_MS,
+          n->admission.room, SpShares_Pack(&n->admission.shares),
+          SpShares_Pack(&behind), n->n.jobs - n->logged_jobs,
+          n->n.jobs_refused, n->n.retries, SpPool_Opened(n->pool));
+    n->logged_at = now;
+    n->logged_jobs = n->n.jobs;
 }
 
 static void
@@ -184,12 +215,13 @@
     int64_t now = SpHttp_Now();
 
     n->ticked = now;
-    share_slack(n);
+    share_budget(n);
     tick_store(n, now);
     tick_instance(n, now);
     tick_calls(n, now);
     tick_links(n, now);
     SpHttp_Tick(n->http, now);
+    log_load(n, now);
     check_stop(n, now);
 }
 
@@ -267,7 +299,7 @@
     g_queue_init(&n->calls);
     n->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
     SpLimiter_Init(&n->lim);
-    SpAdmission_Init(&n->level);
+    SpAdmission_Init(&n->admission);
     n->http = SpHttp_New(n->loop, &limits);
     g_strlcpy(po.addr, n->set.instance, sizeof po.addr);
     n->pool = SpPool_New(n->loop, &po);
