A stopping node serves on until others have turned elsewhere

Change: a stopping node takes requests as before for 2 s, then only what no other can take, until it ends. Retry-After spreads returns over the time left, the more the less is admitted.

--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -47,8 +47,8 @@
 }
 
 static SpUpstream *
-pick(SpUpstream *const *list, guint n, int64_t now, SpUpstream *const *tried,
-     int ntried, uint64_t *rand, int bad)
+pick(SpUpstream *const *list, guint n, const SpChoice *ch, SpTakes takes,
+     int bad)
 {
     SpUpstream *best = NULL;
     double low = 0, cost;
@@ -56,11 +56,11 @@
 
     for (i = 0; i < n; i++) {
         SpUpstream *u = list[i];
-        if (!u->ready || was_tried(u, tried, ntried) ||
-            (!bad && u->bad_until > now)) {
+        if (u->takes != takes || was_tried(u, ch->tried, ch->ntried) ||
+            (!bad && u->bad_until > ch->now)) {
             continue;
         }
-        cost = cost_of(u) * (1 + NOISE * SpRand_Unit(rand));
+        cost = cost_of(u) * (1 + NOISE * SpRand_Unit(ch->rand));
         if (!best || cost < low) {
             best = u;
             low = cost;
@@ -70,12 +70,19 @@
 }
 
 SpUpstream *
-SpChooser_Pick(SpUpstream *const *list, guint n, int64_t now,
-               SpUpstream *const *tried, int ntried, uint64_t *rand)
+SpChooser_Pick(SpUpstream *const *list, guint n, const SpChoice *ch)
 {
-    SpUpstream *u = pick(list, n, now, tried, ntried, rand, 0);
-
-    return u ? u : pick(list, n, now, tried, ntried, rand, 1);
+    static const struct {
+        SpTakes takes;
+        int bad;
+    } order[] = {{SP_TAKES_ALL, 0}, {SP_TAKES_LAST, 0}, {SP_TAKES_ALL, 1}};
+    SpUpstream *u = NULL;
+    size_t i;
+
+    for (i = 0; !u && i < G_N_ELEMENTS(order); i++) {
+        u = pick(list, n, ch, order[i].takes, order[i].bad);
+    }
+    return u;
 }
 
 void
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -147,10 +147,16 @@
 /*
  * Chooser: which instance of a service takes the next request.
  */
+typedef enum {
+    SP_TAKES_NONE, /* no request */
+    SP_TAKES_LAST, /* only what no other can take: it is about to stop */
+    SP_TAKES_ALL
+} SpTakes;
+
 typedef struct SpUpstream {
     char name[SP_FLOW_NAME]; /* of the node beside it */
     int near;                /* 1: in the own zone */
-    int ready;
+    SpTakes takes;
     double limit;    /* requests that it runs at a time */
     int busy;        /* running and waiting there, as last told */
     SpShares shares; /* that it and what lies behind it admit */
@@ -163,13 +169,17 @@
     void *user;
 } SpUpstream;
 
-/*
- * SpChooser_Pick takes the cheapest of n; NULL if none is ready. tried lists
- * those that this request was already sent to.
- */
-SpUpstream *SpChooser_Pick(SpUpstream *const *list, guint n, int64_t now,
-                           SpUpstream *const *tried, int ntried,
-                           uint64_t *rand);
+/* tried lists the instances that the request was already sent to. */
+typedef struct SpChoice {
+    int64_t now;
+    SpUpstream *const *tried;
+    int ntried;
+    uint64_t *rand;
+} SpChoice;
+
+/* SpChooser_Pick takes the cheapest of n; NULL if none takes requests. */
+SpUpstream *SpChooser_Pick(SpUpstream *const *list, guint n,
+                           const SpChoice *ch);
 void SpUpstream_Sent(SpUpstream *u);
 /* SpUpstream_Ended: ok 0 counts a failure against it. */
 void SpUpstream_Ended(SpUpstream *u, int64_t now, int ok);
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -11,7 +11,9 @@
 #define LEAST_LEFT_US (10 * SP_MS)
 /* Spread of the time after which a refused caller is asked to return. */
 #define RETURN_MIN_MS 100
-#define RETURN_SPREAD_MS 300
+#define RETURN_SPREAD_MS 200
+/* Part of the time left over which the returns are spread at most. */
+#define RETURN_SHARE 0.33
 
 struct Call {
     Relay *n;
@@ -114,16 +116,35 @@
     free_call(c);
 }
 
+/*
+ * When a refused caller should come back: soon where there may be room at
+ * once, later the less of its kind is admitted, so that those who return do
+ * not meet those who were told to. In milliseconds.
+ */
+static int64_t
+return_ms(const Call *c)
+{
+    double missing = 1, left = (double)(c->deadline - SpHttp_Now()) / SP_MS;
+    SpShares s;
+
+    if (c->service) {
+        s = shares_of(service_of(c->n, c->service));
+        missing -= s.of[CLAMP(c->rank, 0, SP_MAX_RANKS - 1)];
+    }
+    return (int64_t)(RETURN_MIN_MS +
+                     SpRand_Unit(&c->n->rand) *
+                         (RETURN_SPREAD_MS + missing * left * RETURN_SHARE));
+}
+
 /* It has not run and will not: the caller may come back. */
 static void
 refuse(Call *c, SpKind k)
 {
     char line[48];
-    double s =
-        (RETURN_MIN_MS + RETURN_SPREAD_MS * SpRand_Unit(&c->n->rand)) / 1000.0;
 
     c->n->n.refused++;
-    g_snprintf(line, sizeof line, "Retry-After: %.3f\r\n", s);
+    g_snprintf(line, sizeof line, "Retry-After: %.3f\r\n",
+               (double)return_ms(c) / 1000.0);
     answer_own(c, k, 503, line);
 }
 
@@ -208,7 +229,7 @@
 {
     Load l = own_load(n, now);
 
-    n->self.ready = l.ready;
+    n->self.takes = l.takes;
     n->self.busy = l.busy;
     n->self.mine_told = n->self.mine;
     n->self.limit = l.limit;
@@ -221,6 +242,7 @@
 {
     Service *s = service_of(c->n, c->service);
     int64_t now = SpHttp_Now();
+    SpChoice ch = {now, c->tried, 0, &c->n->rand};
     SpUpstream *u;
 
     while (c->ntried < MAX_TRIES) {
@@ -229,8 +251,9 @@
             return;
         }
         take_own_load(c->n, now);
+        ch.ntried = c->ntried;
         u = SpChooser_Pick((SpUpstream *const *)s->ups->pdata, s->ups->len,
-                           now, c->tried, c->ntried, &c->n->rand);
+                           &ch);
         if (!u) {
             give_up(c, c->ntried ? c->why : SP_NO_TARGET);
             return;
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -12,6 +12,8 @@
 #define CUT_SLACK_US (150 * SP_MS)
 /* A run has to be given at least this. */
 #define LEAST_MS 1
+/* A stopping node takes requests like any other for so long. */
+#define STOP_LAST_US (2000 * SP_MS)
 
 static int64_t
 leave_bound(const Relay *n)
@@ -39,12 +41,24 @@
     return SP_OK;
 }
 
+static SpTakes
+takes_of(const Relay *n, int64_t now)
+{
+    int64_t stopping = n->stop_at ? now - n->stop_at : 0;
+
+    if (closed_for(n, now) != SP_OK || stopping > SP_STOP_NOTICE_US) {
+        return SP_TAKES_NONE;
+    }
+    return n->inst.leave_at || stopping > STOP_LAST_US ? SP_TAKES_LAST
+                                                       : SP_TAKES_ALL;
+}
+
 Load
 own_load(const Relay *n, int64_t now)
 {
     Load l;
 
-    l.ready = closed_for(n, now) == SP_OK && !n->inst.leave_at && !n->stop_at;
+    l.takes = takes_of(n, now);
     l.busy = n->lim.running + n->lim.queued;
     l.shares = shares_behind(n, now);
     SpShares_Min(&l.shares, &n->admission.shares);
@@ -362,7 +376,7 @@
 {
     Instance *i = &n->inst;
     int64_t now = SpHttp_Now();
-    int was = own_load(n, now).ready;
+    SpTakes was = own_load(n, now).takes;
 
     if (is_stale(i, r)) {
         SpLog(SP_LOG_INFO, "report-stale",
@@ -387,7 +401,7 @@
         SpLog(SP_LOG_INFO, "instance-leaving", "instance=%s said=%s", r->id,
               r->phase == SP_INST_GONE ? "gone" : "draining");
     }
-    if (own_load(n, now).ready != was) {
+    if (own_load(n, now).takes != was) {
         tell_links(n);
     }
     run_next(n);
--- a/relay/link.c
+++ b/relay/link.c
@@ -123,7 +123,7 @@
               (SpHttp_Now() - w->heard_at) / SP_MS);
     }
     p->wire = NULL;
-    p->up.ready = 0;
+    p->up.takes = SP_TAKES_NONE;
     p->retry_at = SpHttp_Now() + p->backoff_us +
                   (int64_t)(SpRand(&w->n->rand) % RETRY_MIN_US);
     p->backoff_us = MIN(p->backoff_us * 2, RETRY_MAX_US);
@@ -243,7 +243,7 @@
 {
     Load l = own_load(n, SpHttp_Now());
 
-    put_uint(f, (uint64_t)l.ready);
+    put_uint(f, l.takes);
     put_uint(f, (uint64_t)l.busy);
     put_real(f, l.limit);
     put_real(f, l.run_us);
@@ -316,7 +316,7 @@
     uint64_t version;
     SpUpstream *u;
 
-    l.ready = (int)get_uint(f);
+    l.takes = (SpTakes)get_uint(f);
     l.busy = (int)get_uint(f);
     l.limit = get_real(f);
     l.run_us = get_real(f);
@@ -326,7 +326,7 @@
         return;
     }
     u = &w->peer->up;
-    u->ready = l.ready;
+    u->takes = l.takes;
     u->busy = l.busy;
     u->limit = l.limit;
     u->run_us = l.run_us;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -17,6 +17,9 @@
 #include "relay/adapter.h"
 
 #define SP_RELAY_TICK_US (20 * SP_MS)
+/* A stopping node serves for so long before it ends: its callers need the
+   time to turn elsewhere. */
+#define SP_STOP_NOTICE_US (3200 * SP_MS)
 
 typedef struct SpRelaySettings {
     char name[SP_FLOW_NAME];
@@ -62,7 +65,7 @@
 
 /* The load of a node, as the others hear of it. */
 typedef struct Load {
-    int ready;
+    SpTakes takes;
     int busy;
     double limit;
     double run_us;
@@ -152,7 +155,8 @@
     int64_t started;
     int64_t stop_at; /* 0 while not stopping */
     int64_t ticked;
-    int64_t logged_at; /* of the load */
+    SpTakes told_takes; /* while stopping */
+    int64_t logged_at;  /* of the load */
     uint64_t logged_jobs;
     uv_timer_t tick;
     uv_prepare_t prepare;
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -8,8 +8,6 @@
 #include "relay/relay.h"
 
 #define VERSION "0.2.0"
-/* The callers of a stopping node need this long to turn elsewhere. */
-#define NOTICE_US (3200 * SP_MS)
 /* The rest of the bound of a stop is kept for the process to end. */
 #define STOP_SLACK_US (600 * SP_MS)
 /* A node that just started waits so long for its links. */
@@ -18,7 +16,7 @@
 /* Retries of one hop; the chain below it repeats them on each of its own. */
 #define HOP_SHARE 0.22
 /* The same where the calls of a repeated run are known and counted. */
-#define KNOWN_SHARE 0.75
+#define KNOWN_SHARE 0.85
 /* Part of the slack that the nodes share; the rest covers their lag. */
 #define SLACK_SHARE 0.5
 #define LOAD_LOG_US (1 * SP_SEC)
@@ -61,7 +59,7 @@
 
     for (i = 0; i < s->ups->len; i++) {
         const SpUpstream *u = g_ptr_array_index(s->ups, i);
-        if (u->ready) {
+        if (u->takes) {
             for (k = 0; k < SP_MAX_RANKS; k++) {
                 sum.of[k] += u->shares.of[k];
             }
@@ -158,7 +156,7 @@
     if (!n->stop_at) {
         return;
     }
-    if (age > NOTICE_US) {
+    if (age > SP_STOP_NOTICE_US) {
         SpHttp_CloseIdle(n->http);
         if (!n->calls.length && !n->jobs.length && SpHttp_Open(n->http) == 0) {
             finish(n, "drained");
@@ -208,6 +206,18 @@
     n->logged_jobs = n->n.jobs;
 }
 
+/* The steps of a stop change what the node takes; the others hear at once. */
+static void
+tell_stop(Relay *n, int64_t now)
+{
+    SpTakes takes = own_load(n, now).takes;
+
+    if (n->stop_at && takes != n->told_takes) {
+        n->told_takes = takes;
+        tell_links(n);
+    }
+}
+
 static void
 on_tick(uv_timer_t *t)
 {
@@ -216,6 +226,7 @@
 
     n->ticked = now;
     share_budget(n);
+    tell_stop(n, now);
     tick_store(n, now);
     tick_instance(n, now);
     tick_calls(n, now);
