Least shares by rank; nothing is admitted to a service that none takes

Change: least shares 0.6, 0.5, 0.2 by rank, a limit of 95 % of the slots, queues worked off in 300 ms, no admission while a service on the path has no instance.

--- a/flow/admission.c
+++ b/flow/admission.c
@@ -17,11 +17,12 @@
 #define FILL 0.96
 /* A queue longer than this share of the limit is worked off in DRAIN_US. */
 #define QUEUE_SHARE 0.3
-#define DRAIN_US (500.0 * SP_MS)
-/* The least share of a rank that is admitted. */
-#define FLOOR 0.3
+#define DRAIN_US (300.0 * SP_MS)
 #define LEAST_SHARE 0.02
 
+/* The least share of each rank that is admitted. */
+static const double least[SP_MAX_RANKS] = {0.6, 0.5, 0.2, 0.2};
+
 static const SpShares all = {{1, 1, 1, 1}};
 
 SpShares
@@ -97,17 +98,22 @@
 }
 
 static void
-fill_ranks(SpAdmission *a, double room, double sum)
+fill_ranks(SpAdmission *a, double room)
 {
-    double floor = MIN(FLOOR, sum > 0 ? FLOOR * room / (FLOOR * sum) : 1);
+    double sum = 0, scale, rest, take;
     int i;
 
-    room -= floor * sum;
     for (i = 0; i < SP_MAX_RANKS; i++) {
-        double rest = (1 - floor) * a->offered[i];
-        double take = CLAMP(room, 0.0, rest);
+        sum += least[i] * a->offered[i];
+    }
+    scale = sum > room ? room / sum : 1;
+    room -= scale * sum;
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        rest = (1 - scale * least[i]) * a->offered[i];
+        take = CLAMP(room, 0.0, rest);
         room -= take;
-        a->shares.of[i] = rest > 0 ? floor + (1 - floor) * take / rest : 1;
+        a->shares.of[i] =
+            rest > 0 ? scale * least[i] + take / a->offered[i] : 1;
     }
 }
 
@@ -129,7 +135,7 @@
         a->shares = all;
     }
     else {
-        fill_ranks(a, MAX(room, 0), sum);
+        fill_ranks(a, MAX(room, 0));
     }
     return 1;
 }
--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -8,7 +8,7 @@
 /* What is taken for a run before the first one has ended. */
 #define FIRST_RUN_US (30.0 * SP_MS)
 /* An instance slows down when its last slots are in use. */
-#define FULL_SHARE 0.93
+#define FULL_SHARE 0.95
 /* Share of the time left that may go by in the queue. */
 #define WAIT_SHARE 0.6
 
@@ -29,7 +29,7 @@
 SpLimiter_SetSlots(SpLimiter *l, int slots)
 {
     l->slots = slots;
-    l->limit = MAX(1.0, (double)slots * FULL_SHARE);
+    l->limit = MAX(1, (int)(slots * FULL_SHARE));
 }
 
 int64_t
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -51,6 +51,7 @@
     return s;
 }
 
+/* Nothing is admitted to a service without an instance that takes it. */
 SpShares
 shares_of(const Service *s)
 {
@@ -69,7 +70,7 @@
     for (k = 0; ready && k < SP_MAX_RANKS; k++) {
         sum.of[k] /= ready;
     }
-    return ready ? sum : SpShares_All();
+    return sum;
 }
 
 SpShares
