--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,11 @@
 NODEOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard node/*.c))
 RELAYOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard relay/*.c platform/*.c \
 	http/*.c))
+PLATOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard platform/*.c http/*.c))
 RELAYLIBS = -lhttp_parser -luv -lmsgpackc -lm \
 	$(shell pkg-config --libs $(PKGS))
-PROGS = $(addprefix $(OUT)/,sprelay spnode spctl spcall splog spup spload)
+PROGS = $(addprefix $(OUT)/,sprelay spnode spctl spcall splog spup spload \
+	spstore spinst)
 SRC = $(wildcard */*.c)
 HDR = $(wildcard */*.h)
 
@@ -60,11 +62,15 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(OUT)/spstore $(OUT)/spinst: $(OUT)/%: $(OUT)/standin/%.o \
+		$(patsubst %.c,$(OUT)/%.o,$(wildcard http/*.c)) $(OUT)/libsp.a
+	@echo ld $@
+	@$(CC) $(LDFLAGS) -o $@ $^ -lpthread $(RELAYLIBS)
+
 $(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(filter-out test/fuzz.c,\
-		$(wildcard test/*.c))) \
-		$(OUT)/libsp.a
+		$(wildcard test/*.c))) $(PLATOBJ) $(OUT)/libsp.a
 	@echo ld $@
-	@$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LIBS)
+	@$(CC) $(LDFLAGS) -o $@ $^ -lcunit -lhttp_parser $(LIBS)
 
 test: all $(OUT)/sptest
 	@test/run.sh $(OUT)
--- a/http/reader.c
+++ b/http/reader.c
@@ -233,8 +233,12 @@
 int
 SpReader_End(SpReader *r)
 {
+    enum http_errno e;
+
     http_parser_execute(&r->p, &callbacks, NULL, 0);
-    return HTTP_PARSER_ERRNO(&r->p) == HPE_OK && !r->msg;
+    e = HTTP_PARSER_ERRNO(&r->p);
+    /* the end of the connection may be the end of a message, which pauses */
+    return (e == HPE_OK || e == HPE_PAUSED) && !r->msg;
 }
 
 /*
--- /dev/null
+++ b/standin/spinst.c
@@ -0,0 +1,396 @@
+/*
+ * spinst: stand-in for an instance on the users' platform, for tests. A
+ * thread a connection. How it answers follows from the end of the path:
+ *
+ *   /slow-N    after N ms             /late    a second answer, some ms later
+ *   /reset     cut by a reset         /extra   bytes behind the answer
+ *   /nolength  ended by the close     /cut     reset within such a body
+ *   /refuse    503, not executed      /error   500, executed
+ *   /hang      no answer              /other   421
+ *   /early     before the body is read
+ *
+ * It reports itself every REPORT_MS to the address given, and prints a line
+ * for each request that it runs. SIGTERM: it reports draining, goes on
+ * serving, deregisters and ends.
+ */
+#include <arpa/inet.h>
+#include <getopt.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base/base.h"
+
+#define REPORT_MS 200
+#define HEAD_BYTES 65536
+#define DRAIN_MS 1000
+
+static struct {
+    const char *addr, *id, *service, *zone, *control;
+    int slots;
+    long long born;
+    volatile sig_atomic_t draining;
+    int seq;
+} inst;
+
+static pthread_mutex_t print_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static void
+sleep_ms(int ms)
+{
+    struct timespec t = {ms / 1000, (long)(ms % 1000) * 1000000};
+
+    nanosleep(&t, NULL);
+}
+
+static int
+ends_with(const char *s, const char *end)
+{
+    return g_str_has_suffix(s, end);
+}
+
+static void
+send_text(int fd, const char *s)
+{
+    if (send(fd, s, strlen(s), MSG_NOSIGNAL) < 0) {
+        return; /* the peer has left */
+    }
+}
+
+static void
+reset_conn(int fd)
+{
+    struct linger l = {1, 0};
+
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof l);
+}
+
+typedef struct Request {
+    char method[16], path[512], id[256], caller[64], expect[64];
+    long left_ms;
+    size_t body;
+} Request;
+
+static void
+take_header(Request *r, const char *line)
+{
+    const char *v = strchr(line, ':');
+
+    if (!v) {
+        return;
+    }
+    v += 1 + strspn(v + 1, " ");
+    if (strncasecmp(line, "content-length:", 15) == 0) {
+        r->body = (size_t)strtoul(v, NULL, 10);
+    }
+    else if (strncasecmp(line, "siskinpond-attempt-id:", 22) == 0) {
+        g_strlcpy(r->id, v, sizeof r->id);
+    }
+    else if (strncasecmp(line, "siskinpond-caller-service:", 26) == 0) {
+        g_strlcpy(r->caller, v, sizeof r->caller);
+    }
+    else if (strncasecmp(line, "siskinpond-expected-instance:", 29) == 0) {
+        g_strlcpy(r->expect, v, sizeof r->expect);
+    }
+    else if (strncasecmp(line, "siskinpond-deadline-ms:", 23) == 0) {
+        r->left_ms = strtol(v, NULL, 10);
+    }
+}
+
+/* Reads one head; what came behind it stays in buf. */
+static int
+read_head(int fd, char *buf, size_t *len, Request *r)
+{
+    char *end, **lines;
+    ssize_t n;
+    size_t i;
+
+    memset(r, 0, sizeof *r);
+    while (!(end = strstr(buf, "\r\n\r\n"))) {
+        n = recv(fd, buf + *len, HEAD_BYTES - 1 - *len, 0);
+        if (n <= 0) {
+            return 0;
+        }
+        *len += (size_t)n;
+        buf[*len] = '\0';
+    }
+    *end = '\0';
+    lines = g_strsplit(buf, "\r\n", -1);
+    if (sscanf(lines[0], "%15s %511s", r->method, r->path) != 2) {
+        r->path[0] = '\0';
+    }
+    for (i = 1; lines[i]; i++) {
+        take_header(r, lines[i]);
+    }
+    g_strfreev(lines);
+    end += 4;
+    *len -= (size_t)(end - buf);
+    memmove(buf, end, *len + 1);
+    return 1;
+}
+
+static int
+skip_body(int fd, char *buf, size_t *len, size_t body)
+{
+    size_t here = MIN(*len, body);
+    ssize_t n;
+
+    memmove(buf, buf + here, *len - here + 1);
+    *len -= here;
+    for (body -= here; body > 0; body -= (size_t)n) {
+        n = recv(fd, buf + *len, MIN(body, HEAD_BYTES - 1 - *len), 0);
+        if (n <= 0) {
+            return 0;
+        }
+    }
+    buf[*len] = '\0';
+    return 1;
+}
+
+static char *
+answer_text(const Request *r, int status, const char *more, int length)
+{
+    char *body = g_strdup_printf("%s %s %s\n", inst.id, r->method, r->path);
+    GString *s = g_string_new(NULL);
+
+    g_string_printf(s,
+                    "HTTP/1.1 %d x\r\nSiskinpond-Attempt-Id: %s\r\n"
+                    "Siskinpond-Response-Signature: sig.%s\r\n%s",
+                    status, r->id, r->id, more);
+    if (length) {
+        g_string_append_printf(s, "Content-Length: %zu\r\n", strlen(body));
+    }
+    g_string_append_printf(s, "\r\n%s", body);
+    g_free(body);
+    return g_string_free(s, FALSE);
+}
+
+static void
+note_run(const Request *r)
+{
+    pthread_mutex_lock(&print_lock);
+    printf("run id=%s method=%s path=%s caller=%s body=%zu left=%s\n", r->id,
+           r->method, r->path, r->caller, r->body,
+           r->left_ms > 0 ? "given" : "missing");
+    fflush(stdout);
+    pthread_mutex_unlock(&print_lock);
+}
+
+/* Returns 0 to close the connection. */
+static int
+answer(int fd, const Request *r)
+{
+    const char *slow = strstr(r->path, "/slow-");
+    char *s;
+    int go_on = 1;
+
+    if (r->expect[0] && strcmp(r->expect, inst.id) != 0) {
+        send_text(fd, "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n");
+        return 1;
+    }
+    if (ends_with(r->path, "/refuse")) {
+        send_text(fd, "HTTP/1.1 503 x\r\nSiskinpond-Not-Executed: 1\r\n"
+                      "Content-Length: 0\r\n\r\n");
+        return 1;
+    }
+    if (ends_with(r->path, "/other")) {
+        send_text(fd, "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n");
+        return 1;
+    }
+    note_run(r);
+    if (slow) {
+        sleep_ms((int)strtol(slow + 6, NULL, 10));
+    }
+    if (ends_with(r->path, "/hang")) {
+        sleep_ms(5000);
+        return 0;
+    }
+    if (ends_with(r->path, "/reset")) {
+        reset_conn(fd);
+        return 0;
+    }
+    if (ends_with(r->path, "/nolength") || ends_with(r->path, "/cut")) {
+        s = answer_text(r, 200, "Connection: close\r\n", 0);
+        send_text(fd, s);
+        g_free(s);
+        sleep_ms(50);
+        if (ends_with(r->path, "/cut")) {
+            reset_conn(fd);
+        }
+        return 0;
+    }
+    s = answer_text(r, ends_with(r->path, "/error") ? 500 : 200,
+                    "Keep-Alive: timeout=10\r\n", 1);
+    send_text(fd, s);
+    if (ends_with(r->path, "/extra")) {
+        send_text(fd, s);
+    }
+    if (ends_with(r->path, "/late")) {
+        sleep_ms(30);
+        send_text(fd, s);
+    }
+    g_free(s);
+    return go_on;
+}
+
+static void *
+serve(void *arg)
+{
+    int fd = GPOINTER_TO_INT(arg), go_on = 1;
+    char *buf = g_malloc0(HEAD_BYTES);
+    size_t len = 0;
+    Request r;
+
+    while (go_on && read_head(fd, buf, &len, &r)) {
+        if (ends_with(r.path, "/early")) {
+            go_on = answer(fd, &r) && skip_body(fd, buf, &len, r.body);
+            continue;
+        }
+        go_on = skip_body(fd, buf, &len, r.body) && answer(fd, &r);
+    }
+    close(fd);
+    g_free(buf);
+    return NULL;
+}
+
+static int
+make_addr(const char *s, struct sockaddr_in *sa)
+{
+    char ip[64];
+    int port;
+
+    memset(sa, 0, sizeof *sa);
+    if (!SpParse_Addr(s, ip, sizeof ip, &port)) {
+        return 0;
+    }
+    sa->sin_family = AF_INET;
+    sa->sin_port = htons((uint16_t)port);
+    return inet_pton(AF_INET, ip, &sa->sin_addr) == 1;
+}
+
+/* One report; returns 1 if it was acknowledged. */
+static int
+report(const char *what, const char *state)
+{
+    struct sockaddr_in sa;
+    char answer[512], body[512], *s;
+    int fd = socket(AF_INET, SOCK_STREAM, 0), ok = 0;
+    ssize_t n;
+
+    g_snprintf(body, sizeof body,
+               "{\"address\":\"%s\",\"born\":%lld,\"info\":{\"service\":"
+               "\"%s\",\"version\":\"v1\",\"zone\":\"%s\",\"slots\":%d},"
+               "\"status\":{\"state\":\"%s\",\"seq\":%d,"
+               "\"warmup_left_s\":0}}",
+               inst.addr, inst.born, inst.service, inst.zone, inst.slots,
+               state, ++inst.seq);
+    s = g_strdup_printf("POST /Instances.%s/%s HTTP/1.1\r\nHost: x\r\n"
+                        "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+                        what, inst.id, strlen(body), body);
+    if (make_addr(inst.control, &sa) &&
+        connect(fd, (struct sockaddr *)&sa, sizeof sa) == 0) {
+        send_text(fd, s);
+        n = recv(fd, answer, sizeof answer - 1, 0);
+        ok = n > 12 && strncmp(answer + 9, "200", 3) == 0;
+    }
+    close(fd);
+    g_free(s);
+    return ok;
+}
+
+static void *
+report_all(void *arg)
+{
+    (void)arg;
+    while (!inst.draining) {
+        report("Heartbeat", "ready");
+        sleep_ms(REPORT_MS);
+    }
+    report("Heartbeat", "draining");
+    sleep_ms(DRAIN_MS);
+    report("Deregister", "draining");
+    exit(0);
+}
+
+static void
+on_term(int signum)
+{
+    (void)signum;
+    inst.draining = 1;
+}
+
+static int
+listen_on(const char *addr)
+{
+    struct sockaddr_in sa;
+    int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1;
+
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (!make_addr(addr, &sa) ||
+        bind(fd, (struct sockaddr *)&sa, sizeof sa) != 0 ||
+        listen(fd, 256) != 0) {
+        fprintf(stderr, "spinst: cannot listen on %s\n", addr);
+        exit(1);
+    }
+    return fd;
+}
+
+int
+main(int argc, char **argv)
+{
+    int c, fd, conn;
+    pthread_t thread;
+
+    inst.slots = 8;
+    while ((c = getopt(argc, argv, "l:i:s:z:c:n:b:")) != -1) {
+        switch (c) {
+        case 'l':
+            inst.addr = optarg;
+            break;
+        case 'i':
+            inst.id = optarg;
+            break;
+        case 's':
+            inst.service = optarg;
+            break;
+        case 'z':
+            inst.zone = optarg;
+            break;
+        case 'c':
+            inst.control = optarg;
+            break;
+        case 'n':
+            inst.slots = (int)strtol(optarg, NULL, 10);
+            break;
+        case 'b':
+            inst.born = strtoll(optarg, NULL, 10);
+            break;
+        default:
+            return 2;
+        }
+    }
+    if (!inst.addr || !inst.id || !inst.service || !inst.zone ||
+        !inst.control) {
+        fprintf(stderr, "usage: spinst -l ADDR -i ID -s SERVICE -z ZONE"
+                        " -c CONTROL [-n SLOTS] [-b START_MS]\n");
+        return 2;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    signal(SIGTERM, on_term);
+    fd = listen_on(inst.addr);
+    pthread_create(&thread, NULL, report_all, NULL);
+    while ((conn = accept(fd, NULL, NULL)) >= 0 || errno == EINTR) {
+        if (conn >= 0) {
+            pthread_create(&thread, NULL, serve, GINT_TO_POINTER(conn));
+            pthread_detach(thread);
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/standin/spstore.c
@@ -0,0 +1,421 @@
+/*
+ * spstore: stand-in for the platform's metadata store, for tests. It speaks
+ * the published calls of a log with keyed topics: conditional appends, long
+ * reads, newest records, trimming. PUT /standin?mode=MODE changes how it
+ * answers: ok, down (503), silent (never), lost (done, not answered).
+ */
+#include <jansson.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/http.h"
+
+#define LENGTH_BYTES 4
+#define MAX_ITEMS 500
+
+typedef struct Record {
+    int64_t offset;
+    char *bytes; /* NULL once it is deleted */
+    size_t len;
+} Record;
+
+typedef struct Topic {
+    char *name;
+    GArray *records; /* of Record */
+    int64_t first;   /* oldest offset kept */
+} Topic;
+
+/* A read that waits for a record. */
+typedef struct Wait {
+    SpHttpReq *req;
+    Topic *topic;
+    int64_t from, until;
+} Wait;
+
+typedef enum { MODE_OK, MODE_DOWN, MODE_SILENT, MODE_LOST } Mode;
+
+static const char *const mode_names[] = {"ok", "down", "silent", "lost"};
+
+static struct {
+    uv_loop_t *loop;
+    SpHttp *http;
+    GHashTable *topics;
+    GPtrArray *waits;
+    Mode mode;
+    int writes, reads;
+} store;
+
+static char *
+query(const SpMsg *m, const char *name)
+{
+    const char *q = strchr(m->target, '?');
+    GHashTable *h =
+        q ? g_uri_parse_params(q + 1, -1, "&", G_URI_PARAMS_NONE, NULL) : NULL;
+    const char *v = h ? g_hash_table_lookup(h, name) : NULL;
+    char *copy = g_strdup(v);
+
+    if (h) {
+        g_hash_table_destroy(h);
+    }
+    return copy;
+}
+
+static int64_t
+query_int(const SpMsg *m, const char *name, int64_t no)
+{
+    char *v = query(m, name);
+    int64_t n = v ? g_ascii_strtoll(v, NULL, 10) : no;
+
+    g_free(v);
+    return n;
+}
+
+static void answer_json(SpHttpReq *r, int status, const char *fmt, ...)
+    G_GNUC_PRINTF(3, 4);
+
+static void
+answer_json(SpHttpReq *r, int status, const char *fmt, ...)
+{
+    va_list ap;
+    char *s;
+
+    va_start(ap, fmt);
+    s = g_strdup_vprintf(fmt, ap);
+    va_end(ap);
+    SpHttp_Answer(r, status, "Content-Type: application/json\r\n", s,
+                  strlen(s));
+    g_free(s);
+}
+
+static Topic *
+topic_of(const SpMsg *m)
+{
+    char *name = query(m, "topic");
+    Topic *t = name ? g_hash_table_lookup(store.topics, name) : NULL;
+
+    if (!t && name) {
+        t = g_new0(Topic, 1);
+        t->name = g_strdup(name);
+        t->records = g_array_new(FALSE, TRUE, sizeof(Record));
+        g_hash_table_insert(store.topics, t->name, t);
+    }
+    g_free(name);
+    return t;
+}
+
+static uint32_t
+length_at(const char *p)
+{
+    const unsigned char *u = (const unsigned char *)p;
+
+    return (uint32_t)u[0] << 24 | (uint32_t)u[1] << 16 | (uint32_t)u[2] << 8 |
+           u[3];
+}
+
+static void
+put_number(GByteArray *b, uint64_t v, int bytes)
+{
+    guint8 c;
+
+    while (bytes--) {
+        c = (guint8)(v >> (8 * bytes));
+        g_byte_array_append(b, &c, 1);
+    }
+}
+
+static int64_t
+end_of(const Topic *t)
+{
+    return (int64_t)t->records->len;
+}
+
+static void
+answer_read(SpHttpReq *r, const Topic *t, int64_t from)
+{
+    GByteArray *b = g_byte_array_new();
+    int64_t i;
+
+    put_number(b, (uint64_t)end_of(t), 8);
+    put_number(b, (uint64_t)t->first, 8);
+    for (i = from; i < end_of(t); i++) {
+        const Record *rec = &g_array_index(t->records, Record, i);
+        put_number(b, rec->len, LENGTH_BYTES);
+        g_byte_array_append(b, (const guint8 *)rec->bytes, (guint)rec->len);
+    }
+    SpHttp_Answer(r, 200, "", (const char *)b->data, b->len);
+    g_byte_array_unref(b);
+}
+
+static void
+wake_readers(const Topic *t)
+{
+    guint i;
+
+    for (i = store.waits->len; i > 0; i--) {
+        Wait *w = g_ptr_array_index(store.waits, i - 1);
+        if (w->topic == t && w->from < end_of(t)) {
+            g_ptr_array_remove_index_fast(store.waits, i - 1);
+            answer_read(w->req, t, w->from);
+            g_free(w);
+        }
+    }
+}
+
+static void
+append(SpHttpReq *r, const SpMsg *m, Topic *t)
+{
+    int64_t at = query_int(m, "at", -1), first = end_of(t);
+    const char *p = m->body;
+    size_t left = m->body_len;
+    Record rec;
+
+    if (at >= 0 && at != first) {
+        answer_json(r, 412, "{\"end_offset\":%" PRId64 "}", first);
+        return;
+    }
+    while (left >= LENGTH_BYTES && left - LENGTH_BYTES >= length_at(p)) {
+        rec.len = length_at(p);
+        rec.offset = end_of(t);
+        rec.bytes = g_memdup2(p + LENGTH_BYTES, rec.len);
+        g_array_append_val(t->records, rec);
+        p += LENGTH_BYTES + rec.len;
+        left -= LENGTH_BYTES + rec.len;
+    }
+    store.writes++;
+    wake_readers(t);
+    if (store.mode != MODE_LOST) {
+        answer_json(r, 200,
+                    "{\"offset\":%" PRId64 ",\"end_offset\":%" PRId64 "}",
+                    first, end_of(t));
+    }
+}
+
+static void
+read_log(SpHttpReq *r, const SpMsg *m, Topic *t)
+{
+    int64_t from = query_int(m, "from", 0);
+    Wait *w;
+
+    store.reads++;
+    if (from < t->first) {
+        answer_json(r, 410, "{\"first\":%" PRId64 "}", t->first);
+        return;
+    }
+    if (from < end_of(t)) {
+        answer_read(r, t, from);
+        return;
+    }
+    w = g_new0(Wait, 1);
+    w->req = r;
+    w->topic = t;
+    w->from = from;
+    w->until = SpHttp_Now() + query_int(m, "wait_ms", 0) * SP_MS;
+    g_ptr_array_add(store.waits, w);
+}
+
+static void
+collect_newest(const Topic *t, GTree *keys)
+{
+    int64_t i;
+
+    for (i = 0; i < end_of(t); i++) {
+        const Record *rec = &g_array_index(t->records, Record, i);
+        size_t n = (unsigned char)rec->bytes[0];
+        char *key = g_strndup(rec->bytes + 1, n);
+        if (rec->len > n + 1) {
+            g_tree_insert(keys, key, (gpointer)rec);
+        }
+        else {
+            g_tree_remove(keys, key);
+            g_free(key);
+        }
+    }
+}
+
+typedef struct Page {
+    json_t *items;
+    const char *after;
+    int more;
+} Page;
+
+static gboolean
+add_item(gpointer key, gpointer value, gpointer data)
+{
+    const Record *rec = value;
+    Page *p = data;
+    size_t n = strlen(key) + 1;
+    char *text;
+
+    if (strcmp(key, p->after) <= 0) {
+        return FALSE;
+    }
+    if (json_array_size(p->items) >= MAX_ITEMS) {
+        p->more = 1;
+        return TRUE;
+    }
+    text = g_base64_encode((const guchar *)rec->bytes + n, rec->len - n);
+    json_array_append_new(p->items,
+                          json_pack("{s:s,s:s,s:I}", "key", key, "value", text,
+                                    "offset", (json_int_t)rec->offset));
+    g_free(text);
+    return FALSE;
+}
+
+static gint
+by_name(gconstpointer a, gconstpointer b, gpointer data)
+{
+    (void)data;
+    return strcmp(a, b);
+}
+
+static void
+newest(SpHttpReq *r, const SpMsg *m, const Topic *t)
+{
+    GTree *keys = g_tree_new_full(by_name, NULL, g_free, NULL);
+    char *after = query(m, "after"), *text;
+    Page p = {json_array(), after ? after : "", 0};
+    json_t *o;
+
+    store.reads++;
+    collect_newest(t, keys);
+    g_tree_foreach(keys, add_item, &p);
+    o = json_pack("{s:o,s:b,s:I}", "items", p.items, "has_more", p.more,
+                  "end_offset", (json_int_t)end_of(t));
+    text = json_dumps(o, JSON_COMPACT);
+    answer_json(r, 200, "%s", text);
+    free(text);
+    json_decref(o);
+    g_tree_destroy(keys);
+    g_free(after);
+}
+
+static void
+trim(SpHttpReq *r, const SpMsg *m, Topic *t)
+{
+    t->first = CLAMP(query_int(m, "before", 0), t->first, end_of(t));
+    answer_json(r, 200, "{\"first\":%" PRId64 "}", t->first);
+}
+
+static void
+set_mode(SpHttpReq *r, const SpMsg *m)
+{
+    char *name = query(m, "mode");
+    size_t i;
+
+    for (i = 0; name && i < G_N_ELEMENTS(mode_names); i++) {
+        if (strcmp(name, mode_names[i]) == 0) {
+            store.mode = (Mode)i;
+        }
+    }
+    answer_json(r, 200, "{\"mode\":\"%s\",\"writes\":%d,\"reads\":%d}",
+                mode_names[store.mode], store.writes, store.reads);
+    g_free(name);
+}
+
+static int
+is_call(const SpMsg *m, const char *method, const char *path)
+{
+    return strcmp(m->method, method) == 0 &&
+           strncmp(m->target, path, strlen(path)) == 0;
+}
+
+static void
+on_call(void *ctx, SpHttpReq *r)
+{
+    const SpMsg *m = SpHttpReq_Msg(r);
+    Topic *t;
+
+    (void)ctx;
+    if (is_call(m, "PUT", "/standin?")) {
+        set_mode(r, m);
+        return;
+    }
+    if (store.mode == MODE_DOWN) {
+        answer_json(r, 503, "{\"error\":\"down\"}");
+        return;
+    }
+    if (store.mode == MODE_SILENT) {
+        return;
+    }
+    t = topic_of(m);
+    if (!t) {
+        answer_json(r, 400, "{\"error\":\"topic\"}");
+    }
+    else if (is_call(m, "POST", "/log-append?")) {
+        append(r, m, t);
+    }
+    else if (is_call(m, "GET", "/log-read?")) {
+        read_log(r, m, t);
+    }
+    else if (is_call(m, "GET", "/log-newest?")) {
+        newest(r, m, t);
+    }
+    else if (is_call(m, "POST", "/log-trim?")) {
+        trim(r, m, t);
+    }
+    else {
+        answer_json(r, 404, "{\"error\":\"call\"}");
+    }
+}
+
+static void
+on_gone(void *ctx, SpHttpReq *r)
+{
+    guint i;
+
+    (void)ctx;
+    for (i = store.waits->len; i > 0; i--) {
+        Wait *w = g_ptr_array_index(store.waits, i - 1);
+        if (w->req == r) {
+            g_ptr_array_remove_index_fast(store.waits, i - 1);
+            g_free(w);
+        }
+    }
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+    int64_t now = SpHttp_Now();
+    guint i;
+
+    (void)timer;
+    for (i = store.waits->len; i > 0; i--) {
+        Wait *w = g_ptr_array_index(store.waits, i - 1);
+        if (now >= w->until) {
+            g_ptr_array_remove_index_fast(store.waits, i - 1);
+            answer_read(w->req, w->topic, w->from);
+            g_free(w);
+        }
+    }
+    SpHttp_Tick(store.http, now);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const SpHttpLimits limits = {65536, 4 << 20, 5 * SP_SEC,
+                                        60 * SP_SEC};
+    SpHttpHandler h = {on_call, on_gone, NULL};
+    uv_timer_t tick;
+    GError *err = NULL;
+
+    if (argc != 3 || strcmp(argv[1], "-l") != 0) {
+        fprintf(stderr, "usage: spstore -l IP:PORT\n");
+        return 2;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    store.loop = uv_default_loop();
+    store.topics = g_hash_table_new(g_str_hash, g_str_equal);
+    store.waits = g_ptr_array_new();
+    store.http = SpHttp_New(store.loop, &limits);
+    if (!SpHttp_Listen(store.http, argv[2], &h, &err)) {
+        fprintf(stderr, "spstore: %s\n", err->message);
+        return 1;
+    }
+    uv_timer_init(store.loop, &tick);
+    uv_timer_start(&tick, on_tick, 10, 10);
+    uv_run(store.loop, UV_RUN_DEFAULT);
+    return 0;
+}
--- /dev/null
+++ b/test/fleet.sh
@@ -0,0 +1,119 @@
+# fleet.sh: relays, their instances and the store on loopback, for tests that
+# drive the programs. Sourced; OUT and TMP are set.
+DIR=$TMP
+NET=127.$((20 + $$ % 200)).$((1 + $$ / 200 % 250))
+STORE=$NET.250:7400
+PIDS=""
+N=0
+
+run() { # NAME COMMAND...: start in the background, remember the id
+    local name=$1
+    shift
+    "$@" >>"$DIR/$name.out" 2>>"$DIR/$name.err" &
+    echo $! >"$DIR/$name.pid"
+    PIDS="$PIDS $!"
+}
+
+stop_all() {
+    local p
+    for p in $PIDS; do kill -9 "$p" 2>/dev/null; done
+    wait 2>/dev/null
+}
+trap stop_all EXIT
+
+ip_of() { awk -v n="$1" '$1 == n {print $2}' "$DIR/layout"; }
+
+relay() { # NAME: start it from its settings
+    run "relay-$1" "$OUT/sprelay" -c "$DIR/$1.json"
+}
+
+instance() { # NAME SERVICE ID START_MS
+    local ip
+    ip=$(ip_of "$1")
+    run "inst-$1" "$OUT/spinst" -l "$ip:7406" -i "$3" -s "$2" -z z1 \
+        -c "$ip:7403" -n 8 -b "$4"
+}
+
+node() { # NAME SERVICE: a relay and its instance
+    local ip
+    N=$((N + 1))
+    ip=$NET.$N
+    echo "$1 $ip" >>"$DIR/layout"
+    cat >"$DIR/$1.json" <<END
+{"name": "$1", "zone": "z1", "service": "$2", "interface": "platform",
+ "instance": "$ip:7406", "outbound": "$ip:7401", "reports": "$ip:7403",
+ "ready": "$ip:7404", "link": "$ip:7405", "metrics": "$ip:7407",
+ "store": "$STORE", "report_s": 0.2, "drain_s": 2, "stop_s": 4,
+ "retry_ratio": 0.2, "retry_slack": 400, "retry_window_s": 10}
+END
+    relay "$1"
+    instance "$1" "$2" "i-$1" 1000
+}
+
+raw() { # ADDR < BYTES: what is answered to these very bytes
+    exec 7<>"/dev/tcp/${1%:*}/${1#*:}" || return 1
+    cat >&7
+    timeout "${2:-5}" cat <&7
+    exec 7<&-
+}
+
+status_of() { sed -n '1s/^HTTP[^ ]* \([0-9]*\).*/\1/p'; }
+
+number() { # N BYTES: big-endian
+    local i
+    for ((i = $2 - 1; i >= 0; i--)); do
+        printf "\\x$(printf %02x $(($1 >> (8 * i) & 255)))"
+    done
+}
+
+append() { # TOPIC KEY VALUE
+    local n=$((1 + ${#2} + ${#3}))
+    {
+        printf 'POST /log-append?topic=%s&part=0 HTTP/1.1\r\nhost: x\r\n' "$1"
+        printf 'connection: close\r\ncontent-length: %d\r\n\r\n' $((n + 4))
+        number "$n" 4
+        number "${#2}" 1
+        printf '%s%s' "$2" "$3"
+    } | raw "$STORE" | status_of
+}
+
+route() { # NAME PREFIX KIND TIMEOUT RANK SERVICE
+    printf '["%s","h.example","%s","%s",%s,0.5,%s,"%s",2]' "$@"
+}
+
+publish() { # VERSION ROWS...
+    local version=$1 rows
+    shift
+    rows=$(IFS=,; echo "$*")
+    append keyed.op config "{\"version\":\"$version\",\"routes\":{\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\",\"max_attempts\"],\"rows\":[$rows]},\"services\":{\"columns\":[\"name\"],\"rows\":[]},\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,\"header_timeout_s\":1,\"idle_timeout_s\":5}}"
+}
+
+store_mode() {
+    printf 'PUT /standin?mode=%s HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n' "$1" |
+        raw "$STORE" >/dev/null
+}
+
+until_ok() { # SECONDS COMMAND...: until it succeeds
+    local i tenths=$(($1 * 10))
+    shift
+    for ((i = 0; i < tenths; i++)); do
+        "$@" >/dev/null 2>&1 && return 0
+        sleep 0.1
+    done
+    return 1
+}
+
+send() { # NODE ID METHOD PATH [HEADERS [BODY]]: the whole answer
+    printf '%s %s HTTP/1.1\r\nhost: h.example\r\nSiskinpond-Attempt-Id: %s\r\nSiskinpond-Deadline-Ms: 3000\r\n%bconnection: close\r\n\r\n%s' \
+        "$3" "$4" "$2" "${5:-}" "${6:-}" | raw "$(ip_of "$1"):7401" 4
+}
+
+code() { send "$@" | status_of; }
+ready() { printf 'GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n' |
+    raw "$(ip_of "$1"):7404" | status_of; }
+runs() { cat "$DIR"/inst-*.out | grep -c "^run id=$1 "; }
+served() { [ "$(code "$@")" = 200 ]; }
+
+: >"$DIR/layout"
+run store "$OUT/spstore" -l "$STORE"
+until_ok 5 store_mode ok
--- /dev/null
+++ b/test/flow.c
@@ -0,0 +1,367 @@
+/* Unit tests of flow/ and of the parsers in platform/. */
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "flow/flow.h"
+#include "platform/platform.h"
+#include "test/test.h"
+
+/*
+ * flow
+ */
+
+static SpPathRoute
+make_route(const char *name, const char *host, const char *prefix)
+{
+    SpPathRoute r;
+
+    memset(&r, 0, sizeof r);
+    g_strlcpy(r.name, name, sizeof r.name);
+    g_strlcpy(r.host, host, sizeof r.host);
+    g_strlcpy(r.prefix, prefix, sizeof r.prefix);
+    r.nparts = 1;
+    g_strlcpy(r.parts[0].service, "s", sizeof r.parts[0].service);
+    r.parts[0].weight = 1;
+    return r;
+}
+
+static void
+test_routes(void)
+{
+    SpRoutes *rs = SpRoutes_New(7);
+    SpPathRoute a = make_route("short", "One.example", "/a/");
+    SpPathRoute b = make_route("long", "one.example", "/a/b/");
+    SpPathRoute c = make_route("other", "two.example", "/a/");
+
+    SpRoutes_Add(rs, &a);
+    SpRoutes_Add(rs, &b);
+    SpRoutes_Add(rs, &c);
+    CU_ASSERT_EQUAL(SpRoutes_Count(rs), 3);
+    CU_ASSERT_STRING_EQUAL(SpRoutes_Find(rs, "one.example", "/a/x")->name,
+                           "short");
+    CU_ASSERT_STRING_EQUAL(SpRoutes_Find(rs, "ONE.example:80", "/a/b/")->name,
+                           "long");
+    CU_ASSERT_STRING_EQUAL(SpRoutes_Find(rs, "one.example", "/a/bc")->name,
+                           "short");
+    CU_ASSERT_PTR_NULL(SpRoutes_Find(rs, "one.example", "/a"));
+    CU_ASSERT_PTR_NULL(SpRoutes_Find(rs, "three.example", "/a/"));
+    SpRoutes_Ref(rs);
+    SpRoutes_Unref(rs);
+    CU_ASSERT_EQUAL(rs->version, 7);
+    SpRoutes_Unref(rs);
+}
+
+static void
+test_split(void)
+{
+    SpPathRoute r = make_route("r", "h", "/");
+    int i, first = 0;
+
+    r.nparts = 2;
+    r.parts[0].weight = 90;
+    g_strlcpy(r.parts[1].service, "t", sizeof r.parts[1].service);
+    r.parts[1].weight = 10;
+    for (i = 0; i < 1000; i++) {
+        first += strcmp(SpPathRoute_Part(&r), "s") == 0;
+    }
+    CU_ASSERT_EQUAL(first, 900);
+}
+
+static SpTurn
+make_turn(int rank, int begun, int64_t deadline)
+{
+    SpTurn t;
+
+    memset(&t, 0, sizeof t);
+    t.rank = rank;
+    t.begun = begun;
+    t.deadline = deadline;
+    return t;
+}
+
+static void
+test_limiter_order(void)
+{
+    SpLimiter l;
+    SpTurn run = make_turn(2, 0, SP_SEC), low = make_turn(2, 0, SP_SEC);
+    SpTurn begun = make_turn(1, 1, SP_SEC), fresh = make_turn(1, 0, SP_SEC);
+    SpTurn high = make_turn(0, 0, SP_SEC);
+
+    SpLimiter_Init(&l);
+    SpLimiter_SetSlots(&l, 1);
+    CU_ASSERT_EQUAL(SpLimiter_Offer(&l, 0, &run), SP_TURN_RUN);
+    CU_ASSERT_EQUAL(SpLimiter_Offer(&l, 0, &low), SP_TURN_WAIT);
+    CU_ASSERT_EQUAL(SpLimiter_Offer(&l, 0, &fresh), SP_TURN_WAIT);
+    CU_ASSERT_EQUAL(SpLimiter_Offer(&l, 0, &begun), SP_TURN_WAIT);
+    CU_ASSERT_EQUAL(SpLimiter_Offer(&l, 0, &high), SP_TURN_WAIT);
+    CU_ASSERT_PTR_NULL(SpLimiter_Next(&l));
+    SpLimiter_End(&l, 0, &run, 1000);
+    CU_ASSERT_PTR_EQUAL(SpLimiter_Next(&l), &high);
+    SpLimiter_End(&l, 0, &high, 1000);
+    CU_ASSERT_PTR_EQUAL(SpLimiter_Next(&l), &begun);
+    SpLimiter_End(&l, 0, &begun, 1000);
+    CU_ASSERT_PTR_EQUAL(SpLimiter_Next(&l), &fresh);
+    SpLimiter_End(&l, 0, &low, -1); /* its caller left */
+    SpLimiter_End(&l, 0, &fresh, 1000);
+    CU_ASSERT_PTR_NULL(SpLimiter_Next(&l));
+    CU_ASSERT_EQUAL(l.running, 0);
+    CU_ASSERT_EQUAL(l.queued, 0);
+}
+
+static void
+test_limiter_late(void)
+{
+    SpLimiter l;
+    SpTurn run = make_turn(0, 0, SP_SEC), late = make_turn(0, 0, 60 * SP_MS);
+    SpTurn past = make_turn(0, 0, 10);
+
+    SpLimiter_Init(&l);
+    SpLimiter_SetSlots(&l, 1);
+    CU_ASSERT_EQUAL(SpLimiter_Offer(&l, 20, &past), SP_TURN_REFUSE);
+    SpLimiter_Offer(&l, 0, &run);
+    CU_ASSERT_EQUAL(SpLimiter_Offer(&l, 0, &late), SP_TURN_WAIT);
+    CU_ASSERT_PTR_NULL(SpLimiter_Late(&l, 0));
+    CU_ASSERT_PTR_EQUAL(SpLimiter_Late(&l, 50 * SP_MS), &late);
+    CU_ASSERT_EQUAL(l.queued, 0);
+}
+
+static void
+test_chooser(void)
+{
+    SpUpstream near = {.near = 1, .takes = SP_TAKES_ALL, .limit = 10};
+    SpUpstream far = {.takes = SP_TAKES_ALL, .limit = 10};
+    SpUpstream *list[] = {&near, &far}, *tried[] = {&near};
+    uint64_t seed = 1;
+    SpChoice ch = {0, tried, 0, &seed};
+
+    near.run_us = far.run_us = 20 * SP_MS;
+    CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &near);
+    near.busy = 20; /* a queue there: another zone is worth its cost */
+    CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &far);
+    far.takes = SP_TAKES_LAST; /* about to stop */
+    CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &near);
+    near.takes = SP_TAKES_NONE;
+    CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &far);
+    near.takes = far.takes = SP_TAKES_ALL;
+    near.busy = 0;
+    ch.ntried = 1;
+    CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &far);
+}
+
+static void
+test_retry_budget(void)
+{
+    SpRetryBudget b;
+    SpRetryOpts o = {0.1, 2, 10 * SP_SEC};
+    int i, taken = 0;
+
+    SpRetryBudget_Init(&b, &o);
+    for (i = 0; i < 100; i++) {
+        SpRetryBudget_First(&b, SP_SEC);
+    }
+    for (i = 0; i < 100; i++) {
+        taken += SpRetryBudget_Take(&b, SP_SEC);
+    }
+    CU_ASSERT_EQUAL(taken, 12);
+    /* what is forced by retries further up leaves no room for own ones */
+    SpRetryBudget_Init(&b, &o);
+    for (i = 0; i < 100; i++) {
+        SpRetryBudget_First(&b, SP_SEC);
+        SpRetryBudget_Again(&b, SP_SEC);
+    }
+    CU_ASSERT_FALSE(SpRetryBudget_Take(&b, SP_SEC));
+    CU_ASSERT(SpRetryBudget_Take(&b, 30 * SP_SEC));
+}
+
+/*
+ * platform
+ */
+
+static SpRoutes *
+config(const char *text, char **why)
+{
+    GError *err = NULL;
+    SpRoutes *rs = SpPlatform_Config(text, strlen(text), &err);
+
+    *why = err ? g_strdup(err->message) : NULL;
+    g_clear_error(&err);
+    return rs;
+}
+
+#define COLUMNS                                                               \
+    "\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout_s\","  \
+    "\"aim_s\",\"priority\",\"service\",\"max_attempts\",\"traffic_split\"]"
+
+static void
+test_config(void)
+{
+    static const char good[] =
+        "{\"version\":\"0000000c\",\"routes\":{" COLUMNS ",\"rows\":["
+        "[\"a\",\"h.example\",\"/x/\",\"safe\",0.5,0.2,1,\"s1\",2,null],"
+        "[\"b\",\"h.example\",\"/y/\",\"unsafe\",5,1,0,null,1,"
+        "[{\"service\":\"s1\",\"weight\":90},"
+        "{\"service\":\"s2\",\"weight\":10}]]]},"
+        "\"limits\":{\"max_header_bytes\":100,\"max_body_bytes\":200,"
+        "\"header_timeout_s\":3,\"idle_timeout_s\":1.5}}";
+    char *why;
+    SpRoutes *rs = config(good, &why);
+    SpPathRoute *r;
+
+    CU_ASSERT_PTR_NULL(why);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(rs);
+    CU_ASSERT_EQUAL(rs->version, 12);
+    CU_ASSERT_EQUAL(rs->limits.idle_us, 1500 * SP_MS);
+    r = SpRoutes_Find(rs, "h.example", "/x/1");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+    CU_ASSERT(r->idempotent && r->attempts == 2 && r->rank == 1);
+    CU_ASSERT_EQUAL(r->timeout_us, 500 * SP_MS);
+    CU_ASSERT_EQUAL(r->aim_us, 200 * SP_MS);
+    r = SpRoutes_Find(rs, "h.example", "/y/");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+    CU_ASSERT(!r->idempotent && r->nparts == 2);
+    SpRoutes_Unref(rs);
+}
+
+static void
+test_bad_config(void)
+{
+    static const char *const texts[] = {
+        "",
+        "[]",
+        "{",
+        "{\"version\":\"0000000c\"}",
+        "{\"version\":12,\"routes\":{\"columns\":[],\"rows\":[]}}",
+        "{\"version\":\"0000000g\",\"routes\":{\"columns\":[],\"rows\":[]}}",
+        "{\"version\":\"0000000c\",\"routes\":{" COLUMNS ",\"rows\":[[]]}}",
+        "{\"version\":\"0000000c\",\"routes\":{" COLUMNS ",\"rows\":["
+        "[\"a\",\"h\",\"/x/\",\"safe\",1,1,1,null,2,[]]]}}"};
+    char *why;
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+        CU_ASSERT_PTR_NULL(config(texts[i], &why));
+        CU_ASSERT_PTR_NOT_NULL(why);
+        g_free(why);
+    }
+}
+
+static int
+report(const char *target, const char *body, SpReport *r)
+{
+    SpMsg m = {.method = "POST", .target = target};
+
+    m.body = (char *)body;
+    m.body_len = strlen(body);
+    return SpPlatform_Report(&m, r);
+}
+
+#define BEAT "/Instances.Heartbeat/i-1"
+
+static void
+test_report(void)
+{
+    SpReport r;
+
+    CU_ASSERT(report(BEAT,
+                     "{\"address\":\"1.2.3.4:5\",\"born\":17,\"info\":{"
+                     "\"service\":\"s\",\"slots\":9,\"zone\":\"z\"},"
+                     "\"status\":{\"state\":\"draining\",\"seq\":4,"
+                     "\"warmup_left_s\":0.5}}",
+                     &r));
+    CU_ASSERT_STRING_EQUAL(r.id, "i-1");
+    CU_ASSERT_STRING_EQUAL(r.addr, "1.2.3.4:5");
+    CU_ASSERT(r.slots == 9 && r.seq == 4 && r.start_ms == 17);
+    CU_ASSERT_EQUAL(r.phase, SP_INST_DRAINING);
+    CU_ASSERT_EQUAL(r.warmup_us, 500 * SP_MS);
+    CU_ASSERT(report("/Instances.Deregister/i-2", "", &r));
+    CU_ASSERT(r.partial && r.phase == SP_INST_GONE && !r.has_start);
+}
+
+static void
+test_bad_report(void)
+{
+    static const char *const bodies[] = {
+        "",
+        "x",
+        "[]",
+        "{}",
+        "{\"address\":5,\"info\":{\"service\":\"s\",\"slots\":9},"
+        "\"status\":{\"state\":\"ready\",\"seq\":4}}",
+        "{\"address\":\"1.2.3.4:5\",\"info\":{\"service\":\"s\","
+        "\"slots\":\"9\"},\"status\":{\"state\":\"ready\",\"seq\":4}}",
+        "{\"address\":\"1.2.3.4:5\",\"info\":{\"service\":\"s\","
+        "\"slots\":9},\"status\":{\"state\":\"odd\",\"seq\":4}}",
+        "{\"address\":\"1.2.3.4:5\",\"born\":1.5,\"info\":{"
+        "\"service\":\"s\",\"slots\":9},"
+        "\"status\":{\"state\":\"ready\",\"seq\":4}}"};
+    SpReport r;
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+        CU_ASSERT_FALSE(report(BEAT, bodies[i], &r));
+    }
+    CU_ASSERT_FALSE(report("/Instances.Heartbeat/", "{}", &r));
+    CU_ASSERT_FALSE(report("/elsewhere", "{}", &r));
+}
+
+static void
+test_records(void)
+{
+    static const char body[] = "\0\0\0\0\0\0\0\011"
+                               "\0\0\0\0\0\0\0\0"
+                               "\0\0\0\6\3keyvv"
+                               "\0\0\0\4\3old";
+    SpMsg m = {.status = 200};
+    SpRecords rs;
+
+    m.body = (char *)body;
+    m.body_len = sizeof body - 1;
+    CU_ASSERT(SpPlatform_ReadRead(&m, &rs));
+    CU_ASSERT_EQUAL(rs.end, 9);
+    CU_ASSERT_EQUAL_FATAL(rs.list->len, 2);
+    CU_ASSERT_STRING_EQUAL(g_array_index(rs.list, SpRecord, 0).value, "vv");
+    CU_ASSERT_PTR_NULL(g_array_index(rs.list, SpRecord, 1).value);
+    SpArena_Free(rs.arena);
+    g_array_free(rs.list, TRUE);
+    m.body_len -= 2; /* cut short */
+    CU_ASSERT_FALSE(SpPlatform_ReadRead(&m, &rs));
+    SpArena_Free(rs.arena);
+    g_array_free(rs.list, TRUE);
+    m.status = 410; /* trimmed */
+    CU_ASSERT_FALSE(SpPlatform_ReadRead(&m, &rs));
+    SpArena_Free(rs.arena);
+    g_array_free(rs.list, TRUE);
+}
+
+static void
+test_newest(void)
+{
+    static const char body[] =
+        "{\"items\":[{\"key\":\"a\",\"value\":\"aGk=\",\"offset\":3}],"
+        "\"has_more\":true,\"end_offset\":4}";
+    SpMsg m = {.status = 200};
+    SpRecords rs;
+
+    m.body = (char *)body;
+    m.body_len = strlen(body);
+    CU_ASSERT(SpPlatform_ReadNewest(&m, &rs));
+    CU_ASSERT(rs.more && rs.end == 4);
+    CU_ASSERT_EQUAL_FATAL(rs.list->len, 1);
+    CU_ASSERT_STRING_EQUAL(g_array_index(rs.list, SpRecord, 0).value, "hi");
+    SpArena_Free(rs.arena);
+    g_array_free(rs.list, TRUE);
+}
+
+const Unit flow_units[] = {{"flow", "routes", test_routes},
+                           {"flow", "split", test_split},
+                           {"flow", "limiter order", test_limiter_order},
+                           {"flow", "limiter late", test_limiter_late},
+                           {"flow", "chooser", test_chooser},
+                           {"flow", "retry budget", test_retry_budget},
+                           {"platform", "config", test_config},
+                           {"platform", "bad config", test_bad_config},
+                           {"platform", "report", test_report},
+                           {"platform", "bad report", test_bad_report},
+                           {"platform", "records", test_records},
+                           {"platform", "newest", test_newest},
+                           {NULL, NULL, NULL}};
--- /dev/null
+++ b/test/relay-life.t
@@ -0,0 +1,70 @@
+# Relays on the users' platform: configurations, the store's outages, leaving
+# instances, stops.
+. test/fleet.sh
+SAFE=$(route safe /safe/ safe 2 1 back)
+MORE=$(route more /more/ safe 2 1 back)
+
+node front-1 front
+node back-1 back
+node back-2 back
+publish 00000002 "$SAFE" >/dev/null
+until_ok 10 served front-1 warm GET /safe/warm
+until_ok 5 served back-1 warm GET /safe/warm
+
+report() { # ADDR CALL BODY
+    printf 'POST %s HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: %d\r\n\r\n%s' \
+        "$2" "${#3}" "$3" | raw "$1:7403" | status_of
+}
+beat() { # ADDRESS SERVICE SLOTS STATE SEQ START
+    printf '{"address":"%s","born":%s,"info":{"service":"%s","slots":%s},"status":{"state":"%s","seq":%s,"warmup_left_s":0}}' \
+        "$1" "$6" "$2" "$3" "$4" "$5"
+}
+
+echo "an older version does not come back:"
+publish 00000001 "$MORE" >/dev/null
+sleep 0.3
+echo "old: $(code front-1 a1 GET /safe/x), $(code front-1 a2 GET /more/x)"
+echo "one that cannot be read leaves the last in force:"
+append keyed.op config '{"version":"00000009","routes":17}' >/dev/null
+sleep 0.3
+code front-1 a3 GET /safe/x
+echo "a newer one:"
+publish 00000003 "$SAFE" "$MORE" >/dev/null
+until_ok 5 served front-1 more GET /more/x && echo in force
+
+echo "store down: served, and a restarted node learns from its peers"
+store_mode down
+code front-1 b1 GET /safe/x
+kill -9 "$(cat "$DIR/relay-front-1.pid")"
+sleep 0.2
+relay front-1
+until_ok 10 served front-1 again GET /more/x && echo served
+store_mode ok
+
+ip=$(ip_of back-1)
+echo "reports that name no instance to use:"
+report "$ip" /Instances.Heartbeat/i-x 'not json'
+report "$ip" /Instances.Heartbeat/i-x "$(beat "$ip:7406" back 8 odd 1 2000)"
+echo "of another service, acknowledged and not used:"
+report "$ip" /Instances.Heartbeat/i-x "$(beat "$ip:7406" other 8 ready 1 9000)"
+echo "of an earlier lifetime:"
+report "$ip" /Instances.Heartbeat/i-back-1 "$(beat "$ip:7406" back 8 draining 900000 5)"
+sleep 0.3
+printf 'still used: '
+for i in $(seq 20); do code front-1 "s$i" GET /safe/x; done | sort | uniq -c | tr -s ' '
+
+echo "a leaving instance gets nothing after its bound, nobody is refused:"
+kill "$(cat "$DIR/inst-back-2.pid")"
+sleep 0.3
+for i in $(seq 20); do code front-1 "l$i" GET /safe/x; done | sort | uniq -c | tr -s ' '
+
+echo "a stop cuts nothing off:"
+(code front-1 t1 GET /safe/slow-800 >"$DIR/slow") &
+slow=$!
+sleep 0.3
+kill "$(cat "$DIR/relay-front-1.pid")"
+sleep 0.2
+echo "not ready: $(ready front-1), serves: $(code front-1 t2 GET /safe/x)"
+wait "$slow"
+echo "under way: $(cat "$DIR/slow")"
+until_ok 8 grep -q event=stopped "$DIR/relay-front-1.out" && echo stopped
--- a/test/test.h
+++ b/test/test.h
@@ -2,6 +2,15 @@
 #ifndef SP_TEST_H
 #define SP_TEST_H
 
+/* A unit test; a list of them ends with a NULL suite. */
+typedef struct Unit {
+    const char *suite, *name;
+    void (*run)(void);
+} Unit;
+
+/* flow.c */
+extern const Unit flow_units[];
+
 /* unit.c: CUnit; returns the exit status */
 int run_units(void);
 /* script.c: a scenario file; returns the exit status */
--- a/test/unit.c
+++ b/test/unit.c
@@ -407,39 +407,44 @@
     CU_ASSERT(!SpPacked_Check("", 0));
 }
 
-int
-run_units(void)
+static void
+add_units(const Unit *list)
 {
-    static const struct {
-        const char *suite, *name;
-        CU_TestFunc f;
-    } tests[] = {{"base", "arena", test_arena},
-                 {"base", "table", test_table},
-                 {"base", "kinds", test_kinds},
-                 {"base", "parse", test_parse},
-                 {"conf", "doc", test_doc},
-                 {"conf", "bad doc", test_bad_doc},
-                 {"core", "gate order", test_gate_order},
-                 {"core", "gate late", test_gate_late},
-                 {"core", "keys", test_keys},
-                 {"core", "key text", test_key_text},
-                 {"core", "versions", test_versions},
-                 {"core", "versions gap", test_versions_gap},
-                 {"core", "line", test_line},
-                 {"core", "packed", test_packed}};
     CU_pSuite suite = NULL;
     const char *last = "";
-    unsigned failures;
-    size_t i;
 
-    CU_initialize_registry();
-    for (i = 0; i < G_N_ELEMENTS(tests); i++) {
-        if (strcmp(last, tests[i].suite) != 0) {
-            suite = CU_add_suite(tests[i].suite, NULL, NULL);
-            last = tests[i].suite;
+    for (; list->suite; list++) {
+        if (strcmp(last, list->suite) != 0) {
+            suite = CU_add_suite(list->suite, NULL, NULL);
+            last = list->suite;
         }
-        CU_add_test(suite, tests[i].name, tests[i].f);
+        CU_add_test(suite, list->name, list->run);
     }
+}
+
+int
+run_units(void)
+{
+    static const Unit tests[] = {{"base", "arena", test_arena},
+                                 {"base", "table", test_table},
+                                 {"base", "kinds", test_kinds},
+                                 {"base", "parse", test_parse},
+                                 {"conf", "doc", test_doc},
+                                 {"conf", "bad doc", test_bad_doc},
+                                 {"core", "gate order", test_gate_order},
+                                 {"core", "gate late", test_gate_late},
+                                 {"core", "keys", test_keys},
+                                 {"core", "key text", test_key_text},
+                                 {"core", "versions", test_versions},
+                                 {"core", "versions gap", test_versions_gap},
+                                 {"core", "line", test_line},
+                                 {"core", "packed", test_packed},
+                                 {NULL, NULL, NULL}};
+    unsigned failures;
+
+    CU_initialize_registry();
+    add_units(tests);
+    add_units(flow_units);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
