--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -5,7 +5,7 @@
 #include "flow/flow.h"
 
 /* What a run elsewhere costs beside its time: delay and bytes sent. */
-#define FAR_US (25.0 * SP_MS)
+#define FAR_US (60.0 * SP_MS)
 /* What is taken for a run of an instance that has not told any. */
 #define UNKNOWN_RUN_US (30.0 * SP_MS)
 /* Random part of a cost, so that many nodes do not choose alike. */
--- a/http/pool.c
+++ b/http/pool.c
@@ -164,6 +164,21 @@
     finish(x, SP_POOL_OK, "");
 }
 
+/*
+ * 1 if the peer has shut its side in order. libuv takes a hang-up behind the
+ * last bytes for the end of the stream without asking the socket; after a
+ * reset the socket has an error instead.
+ */
+static int
+is_shut(const PoolConn *c)
+{
+    uv_os_fd_t fd;
+    char b;
+
+    return uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0 &&
+           recv(fd, &b, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void
 on_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf)
 {
@@ -174,7 +189,7 @@
         return;
     }
     if (n < 0) {
-        if (n == UV_EOF && c->x && SpReader_End(&c->r) && c->x->answer) {
+        if (n == UV_EOF && c->x && is_shut(c) && SpReader_End(&c->r) && c->x->answer) {
             c->spoilt = 1;
             end_answer(c, 0);
             return;
