Admission by route, by what was truly offered, for the whole service

With several instances the fastest one, always full, set the share for all while others stood idle (72 of 770 runs a second).

Change: each request carries the share by which it was admitted and counts for 1/share; nodes learn which routes a route leads to and pass on what its path admits with each answer; the nodes of a service tell each other demand and room. The least shares are 0.6, 0.5, 0.1.

--- a/flow/admission.c
+++ b/flow/admission.c
@@ -1,10 +1,11 @@
 /*
  * Admission: which share of the new work of each rank a service takes.
  *
- * The node beside an instance counts the work that arrives, rank by rank, and
- * takes it for the admitted share of what is offered. It fills the capacity
- * of the instance with the ranks in their order, after a least share for
- * each, so that no kind of work is starved. Room is kept to work off a queue.
+ * The node beside an instance counts the work that arrives, rank by rank; each
+ * request stands for as many as were offered for it. The nodes of a service
+ * tell each other, and each fills the room of all with the ranks in their
+ * order, after a least share for each, so that no kind of work is starved.
+ * Room is kept to work off a queue.
  */
 #include <string.h>
 
@@ -12,7 +13,7 @@
 
 #define STEP_US (100 * SP_MS)
 /* Weight of one step in what is smoothed. */
-#define STEP_WEIGHT 0.06
+#define STEP_WEIGHT 0.25
 /* The share of the limit that may be filled. */
 #define FILL 0.96
 /* A queue longer than this share of the limit is worked off in DRAIN_US. */
@@ -21,7 +22,7 @@
 #define LEAST_SHARE 0.02
 
 /* The least share of each rank that is admitted. */
-static const double least[SP_MAX_RANKS] = {0.6, 0.5, 0.2, 0.2};
+static const double least[SP_MAX_RANKS] = {0.6, 0.5, 0.1, 0.1};
 
 static const SpShares all = {{1, 1, 1, 1}};
 
@@ -70,72 +71,75 @@
 SpAdmission_Init(SpAdmission *a)
 {
     memset(a, 0, sizeof *a);
-    a->shares = a->used = all;
+    a->shares = all;
 }
 
 void
-SpAdmission_Arrived(SpAdmission *a, int rank)
+SpAdmission_Arrived(SpAdmission *a, int rank, double share)
 {
-    a->arrived[CLAMP(rank, 0, SP_MAX_RANKS - 1)]++;
+    a->arrived[CLAMP(rank, 0, SP_MAX_RANKS - 1)] +=
+        1 / MAX(share, LEAST_SHARE);
 }
 
-/* What is offered, in slots: the arrivals over the share admitted. */
-static double
-offered(SpAdmission *a, double run_us, const SpShares *in_force)
+void
+SpDemand_Add(SpDemand *sum, const SpDemand *d)
+{
+    int i;
+
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        sum->offered[i] += d->offered[i];
+    }
+    sum->room += d->room;
+}
+
+static void
+count_offered(SpAdmission *a, double run_us)
 {
-    double sum = 0, now;
+    double now;
     int i;
 
     for (i = 0; i < SP_MAX_RANKS; i++) {
         now = a->arrived[i] * run_us / STEP_US;
         a->arrived[i] = 0;
-        a->work[i] += STEP_WEIGHT * (now - a->work[i]);
-        a->used.of[i] += STEP_WEIGHT * (in_force->of[i] - a->used.of[i]);
-        a->offered[i] = a->work[i] / MAX(a->used.of[i], LEAST_SHARE);
-        sum += a->offered[i];
+        a->own.offered[i] += STEP_WEIGHT * (now - a->own.offered[i]);
     }
-    return sum;
 }
 
+/* The least shares first, then the ranks in their order. */
 static void
-fill_ranks(SpAdmission *a, double room)
+fill_ranks(SpAdmission *a, const SpDemand *d)
 {
-    double sum = 0, scale, rest, take;
+    double sum = 0, room = d->room, scale, rest, take;
     int i;
 
     for (i = 0; i < SP_MAX_RANKS; i++) {
-        sum += least[i] * a->offered[i];
+        sum += least[i] * d->offered[i];
     }
     scale = sum > room ? room / sum : 1;
     room -= scale * sum;
     for (i = 0; i < SP_MAX_RANKS; i++) {
-        rest = (1 - scale * least[i]) * a->offered[i];
+        rest = (1 - scale * least[i]) * d->offered[i];
         take = CLAMP(room, 0.0, rest);
         room -= take;
         a->shares.of[i] =
-            rest > 0 ? scale * least[i] + take / a->offered[i] : 1;
+            rest > 0 ? scale * least[i] + take / d->offered[i] : 1;
     }
 }
 
-int
+void
 SpAdmission_Step(SpAdmission *a, int64_t now, const SpLimiter *l,
-                 const SpShares *in_force)
+                 const SpDemand *others)
 {
-    double sum, room;
+    double queue = MAX(0, l->queued - l->limit * QUEUE_SHARE);
+    SpDemand all_of_it = *others;
 
     if (now - a->at < STEP_US) {
-        return 0;
+        return;
     }
     a->at = now;
-    sum = offered(a, l->run_us, in_force);
-    room = FILL * l->limit -
-           MAX(0, l->queued - l->limit * QUEUE_SHARE) * l->run_us / DRAIN_US;
-    a->room = room;
-    if (sum <= room) {
-        a->shares = all;
-    }
-    else {
-        fill_ranks(a, MAX(room, 0));
-    }
-    return 1;
+    count_offered(a, l->run_us);
+    a->own.room = FILL * l->limit - queue * l->run_us / DRAIN_US;
+    SpDemand_Add(&all_of_it, &a->own);
+    all_of_it.room = MAX(all_of_it.room, 0);
+    fill_ranks(a, &all_of_it);
 }
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -124,25 +124,51 @@
 uint32_t SpShares_Pack(const SpShares *s);
 SpShares SpShares_Unpack(uint32_t v);
 
+/* What is offered to an instance, by rank, and what it has room for, both in
+   slots. */
+typedef struct SpDemand {
+    double offered[SP_MAX_RANKS];
+    double room;
+} SpDemand;
+
 typedef struct SpAdmission {
-    SpShares shares;              /* what this instance takes */
-    SpShares used;                /* smoothed: what was admitted lately */
-    double arrived[SP_MAX_RANKS]; /* requests since the last step */
-    double work[SP_MAX_RANKS];    /* slots that the arrivals fill */
-    double offered[SP_MAX_RANKS]; /* slots that all new work would fill */
-    double room;                  /* slots for new work, as of the last step */
+    SpShares shares;              /* what the service takes */
+    double arrived[SP_MAX_RANKS]; /* offered requests since the last step */
+    SpDemand own;                 /* at this instance, as of the last step */
     int64_t at;
 } SpAdmission;
 
 void SpAdmission_Init(SpAdmission *a);
-/* SpAdmission_Arrived counts a request that reached the node. */
-void SpAdmission_Arrived(SpAdmission *a, int rank);
 /*
- * SpAdmission_Step works the shares out anew; in_force are those by which
- * the entries admit now. It does nothing (and returns 0) if called too often.
+ * SpAdmission_Arrived counts a request that reached the node. share is the
+ * share by which its entry admitted the work that it belongs to: it stands
+ * for 1/share of what was offered.
+ */
+void SpAdmission_Arrived(SpAdmission *a, int rank, double share);
+/*
+ * SpAdmission_Step works the shares out anew, if it is time for it. others is
+ * the sum over the other instances of the service.
+ */
+void SpAdmission_Step(SpAdmission *a, int64_t now, const SpLimiter *l,
+                      const SpDemand *others);
+void SpDemand_Add(SpDemand *sum, const SpDemand *d);
+
+/*
+ * Paths: what the services behind a route admit.
  */
-int SpAdmission_Step(SpAdmission *a, int64_t now, const SpLimiter *l,
-                     const SpShares *in_force);
+typedef struct SpPaths SpPaths;
+
+SpPaths *SpPaths_New(void);
+/* SpPaths_Called notes that a run of a route called another one. */
+void SpPaths_Called(SpPaths *ps, int64_t now, const char *route,
+                    const char *child);
+/* SpPaths_Told notes what an answer on a route said of its path. */
+void SpPaths_Told(SpPaths *ps, int64_t now, const char *route,
+                  const SpShares *s);
+/* SpPaths_Shares is what the path of a route admits, as last told. */
+SpShares SpPaths_Shares(SpPaths *ps, int64_t now, const char *route);
+/* SpPaths_Behind is the least of what the routes that it calls admit. */
+SpShares SpPaths_Behind(SpPaths *ps, int64_t now, const char *route);
 
 /*
  * Chooser: which instance of a service takes the next request.
@@ -159,7 +185,7 @@
     SpTakes takes;
     double limit;    /* requests that it runs at a time */
     int busy;        /* running and waiting there, as last told */
-    SpShares shares; /* that it and what lies behind it admit */
+    SpDemand demand; /* as last told */
     int mine;        /* sent from here and not answered */
     int mine_told;   /* mine when busy was told */
     double run_us;   /* smoothed, as last told */
--- /dev/null
+++ b/flow/paths.c
@@ -0,0 +1,103 @@
+/*
+ * Paths: what the services behind a route admit.
+ *
+ * A node learns from the calls of its instance which routes the runs of a
+ * route lead to, and from each answer what the path of its route admits.
+ */
+#include <string.h>
+
+#include "flow/flow.h"
+
+/* A route counts as called by another for so long. */
+#define CALLED_US (2 * SP_SEC)
+/* What was told is forgotten after this, so that new work finds out. */
+#define TOLD_US (1 * SP_SEC)
+/* Weight of one answer. */
+#define TOLD_WEIGHT 0.2
+
+typedef struct Path {
+    SpShares told;
+    int64_t told_at;      /* 0: never */
+    GHashTable *children; /* route name to the time of the last call */
+} Path;
+
+struct SpPaths {
+    GHashTable *routes; /* name to Path */
+};
+
+SpPaths *
+SpPaths_New(void)
+{
+    SpPaths *ps = g_new0(SpPaths, 1);
+
+    ps->routes = g_hash_table_new(g_str_hash, g_str_equal);
+    return ps;
+}
+
+static Path *
+path_of(SpPaths *ps, const char *route)
+{
+    Path *p = g_hash_table_lookup(ps->routes, route);
+
+    if (!p) {
+        p = g_new0(Path, 1);
+        p->told = SpShares_All();
+        p->children =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        g_hash_table_insert(ps->routes, g_strdup(route), p);
+    }
+    return p;
+}
+
+void
+SpPaths_Called(SpPaths *ps, int64_t now, const char *route, const char *child)
+{
+    Path *p = path_of(ps, route);
+    int64_t *at = g_hash_table_lookup(p->children, child);
+
+    if (!at) {
+        at = g_new(int64_t, 1);
+        g_hash_table_insert(p->children, g_strdup(child), at);
+    }
+    *at = now;
+}
+
+void
+SpPaths_Told(SpPaths *ps, int64_t now, const char *route, const SpShares *s)
+{
+    Path *p = path_of(ps, route);
+    int i;
+
+    if (now - p->told_at > TOLD_US) {
+        p->told = *s;
+    }
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        p->told.of[i] += TOLD_WEIGHT * (s->of[i] - p->told.of[i]);
+    }
+    p->told_at = now;
+}
+
+SpShares
+SpPaths_Shares(SpPaths *ps, int64_t now, const char *route)
+{
+    const Path *p = path_of(ps, route);
+
+    return now - p->told_at > TOLD_US ? SpShares_All() : p->told;
+}
+
+SpShares
+SpPaths_Behind(SpPaths *ps, int64_t now, const char *route)
+{
+    SpShares least = SpShares_All(), one;
+    GHashTableIter it;
+    gpointer child, at;
+
+    g_hash_table_iter_init(&it, path_of(ps, route)->children);
+    while (g_hash_table_iter_next(&it, &child, &at)) {
+        if (now - *(int64_t *)at < CALLED_US) {
+            one = SpPaths_Shares(ps, now, child);
+            SpShares_Min(&least, &one);
+        }
+    }
+    return least;
+}
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -5,6 +5,8 @@
 
 /* Instances that one request may be offered to, refusals included. */
 #define MAX_TRIES 4
+/* A stopping node refuses new work after this. */
+#define STOP_REFUSE_US (2900 * SP_MS)
 /* What a caller waits that does not say. */
 #define DEFAULT_LEFT_US (30 * SP_SEC)
 /* A retry is not worth sending with less time left. */
@@ -25,6 +27,7 @@
     const char *service;
     int64_t arrived, deadline;
     int rank;
+    double share;            /* by which the work it belongs to was admitted */
     int begun;               /* 1: it is a call of a run */
     int again;               /* 1: that run is a retry, or this send is one */
     char parent[SP_ID_ROOM]; /* the request of that run */
@@ -129,8 +132,8 @@
     double missing = 1, left = (double)(c->deadline - SpHttp_Now()) / SP_MS;
     SpShares s;
 
-    if (c->service) {
-        s = shares_of(service_of(c->n, c->service));
+    if (c->route) {
+        s = SpPaths_Shares(c->n->paths, SpHttp_Now(), c->route->name);
         missing -= s.of[CLAMP(c->rank, 0, SP_MAX_RANKS - 1)];
     }
     return (int64_t)(RETURN_MIN_MS +
@@ -174,9 +177,11 @@
 on_job_done(Job *j, const Result *r)
 {
     Call *c = j->owner;
+    Result here = *r;
 
     c->job = NULL;
-    end_send(c, r);
+    here.path = path_shares(j->n, SpHttp_Now(), j->route);
+    end_send(c, &here);
 }
 
 static int
@@ -184,6 +189,8 @@
 {
     Relay *n = c->n;
     JobOpts o = {.id = c->id,
+                 .route = c->route->name,
+                 .share = c->share,
                  .rank = c->rank,
                  .begun = c->begun,
                  .again = c->again || c->reached > 0,
@@ -236,7 +243,6 @@
     n->self.mine_told = n->self.mine;
     n->self.limit = l.limit;
     n->self.run_us = l.run_us;
-    n->self.shares = l.shares;
 }
 
 static void
@@ -245,6 +251,7 @@
     Service *s = service_of(c->n, c->service);
     int64_t now = SpHttp_Now();
     SpChoice ch = {now, c->tried, 0, &c->n->rand};
+    static const SpShares nothing;
     SpUpstream *u;
 
     while (c->ntried < MAX_TRIES) {
@@ -257,6 +264,9 @@
         u = SpChooser_Pick((SpUpstream *const *)s->ups->pdata, s->ups->len,
                            &ch);
         if (!u) {
+            if (!c->ntried) {
+                SpPaths_Told(c->n->paths, now, c->route->name, &nothing);
+            }
             give_up(c, c->ntried ? c->why : SP_NO_TARGET);
             return;
         }
@@ -311,6 +321,9 @@
     c->why = r->kind;
     SpUpstream_Ended(u, SpHttp_Now(),
                      r->outcome == SP_NOT_RUN && !r->reached ? 1 : ok);
+    if (r->kind != SP_BROKEN) {
+        SpPaths_Told(c->n->paths, SpHttp_Now(), c->route->name, &r->path);
+    }
     c->reached += r->reached;
     c->below |= r->below;
     if (r->outcome != SP_NOT_RUN) {
@@ -380,7 +393,8 @@
     c->n->knows_parents = 1;
     c->rank = j->turn.rank;
     c->deadline = MIN(c->deadline, j->turn.deadline);
-    service_of(c->n, c->service)->called_at = c->arrived;
+    c->share = j->share;
+    SpPaths_Called(c->n->paths, c->arrived, j->route, c->route->name);
 }
 
 /* New work that the services on its path have no room for is turned away
@@ -389,10 +403,23 @@
 is_admitted(Call *c)
 {
     Relay *n = c->n;
-    SpShares s = shares_of(service_of(n, c->service));
+    SpShares s;
+
+    if (c->begun) {
+        return 1;
+    }
+    s = SpPaths_Shares(n->paths, c->arrived, c->route->name);
+    c->share = s.of[CLAMP(c->rank, 0, SP_MAX_RANKS - 1)];
+    return SpRand_Unit(&n->rand) < c->share;
+}
 
-    return c->begun ||
-           SpRand_Unit(&n->rand) < s.of[CLAMP(c->rank, 0, SP_MAX_RANKS - 1)];
+/* A stopping node takes no new work that it might not see through. */
+static int
+is_too_late(const Call *c)
+{
+    int64_t stop_at = c->n->stop_at;
+
+    return !c->begun && stop_at && c->arrived - stop_at > STOP_REFUSE_US;
 }
 
 static void
@@ -431,6 +458,10 @@
         c->deadline = MIN(c->deadline, c->arrived + c->route->timeout_us);
     }
     follow_parent(c, &a);
+    if (is_too_late(c)) {
+        refuse(c, SP_LEAVING);
+        return;
+    }
     if (!is_admitted(c)) {
         refuse(c, SP_SHED);
         return;
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -60,13 +60,21 @@
 
     l.takes = takes_of(n, now);
     l.busy = n->lim.running + n->lim.queued;
-    l.shares = shares_behind(n, now);
-    SpShares_Min(&l.shares, &n->admission.shares);
+    l.demand = n->admission.own;
     l.limit = n->lim.limit;
     l.run_us = n->lim.run_us;
     return l;
 }
 
+SpShares
+path_shares(const Relay *n, int64_t now, const char *route)
+{
+    SpShares s = SpPaths_Behind(n->paths, now, route);
+
+    SpShares_Min(&s, &n->admission.shares);
+    return s;
+}
+
 /*
  * Jobs.
  */
@@ -220,6 +228,8 @@
     j->n = n;
     j->idempotent = o->idempotent;
     j->again = o->again;
+    j->share = o->share;
+    g_strlcpy(j->route, o->route, sizeof j->route);
     j->head = o->head;
     j->done = o->done;
     j->owner = o->owner;
@@ -245,7 +255,7 @@
         j->own_body = g_memdup2(o->body, o->body_len);
         j->body = j->own_body;
     }
-    SpAdmission_Arrived(&n->admission, j->turn.rank);
+    SpAdmission_Arrived(&n->admission, j->turn.rank, o->share);
     switch (SpLimiter_Offer(&n->lim, now, &j->turn)) {
     case SP_TURN_RUN:
         run_job(j);
@@ -320,15 +330,32 @@
     }
 }
 
+/* What the other instances of the service say. */
+static SpDemand
+demand_elsewhere(Relay *n)
+{
+    const Service *s = service_of(n, n->set.service);
+    SpDemand sum = {{0}, 0};
+    guint i;
+
+    for (i = 0; i < s->ups->len; i++) {
+        const SpUpstream *u = g_ptr_array_index(s->ups, i);
+        if (u != &n->self && u->takes == SP_TAKES_ALL) {
+            SpDemand_Add(&sum, &u->demand);
+        }
+    }
+    return sum;
+}
+
 void
 tick_instance(Relay *n, int64_t now)
 {
     SpKind k = closed_for(n, now);
-    SpShares in_force;
+    SpDemand others;
     SpTurn *t;
 
-    in_force = shares_of(service_of(n, n->set.service));
-    SpAdmission_Step(&n->admission, now, &n->lim, &in_force);
+    others = demand_elsewhere(n);
+    SpAdmission_Step(&n->admission, now, &n->lim, &others);
     check_runs(n, now);
     while ((t = SpLimiter_Late(&n->lim, now)) != NULL) {
         refuse_job(t->user, SP_LATE);
--- a/relay/link.c
+++ b/relay/link.c
@@ -244,16 +244,20 @@
 put_load(FrameOut *f, const Relay *n)
 {
     Load l = own_load(n, SpHttp_Now());
+    int i;
 
     put_uint(f, l.takes);
     put_uint(f, (uint64_t)l.busy);
     put_real(f, l.limit);
     put_real(f, l.run_us);
-    put_uint(f, SpShares_Pack(&l.shares));
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        put_real(f, l.demand.offered[i]);
+    }
+    put_real(f, l.demand.room);
     put_uint(f, n->routes ? n->routes->version : 0);
 }
 
-#define LOAD_ARGS 6
+#define LOAD_ARGS (6 + SP_MAX_RANKS)
 
 static void
 send_state(Wire *w)
@@ -315,6 +319,7 @@
 take_load(Wire *w, FrameIn *f)
 {
     Load l;
+    int i;
     uint64_t version;
     SpUpstream *u;
 
@@ -322,7 +327,10 @@
     l.busy = (int)get_uint(f);
     l.limit = get_real(f);
     l.run_us = get_real(f);
-    l.shares = SpShares_Unpack((uint32_t)get_uint(f));
+    for (i = 0; i < SP_MAX_RANKS; i++) {
+        l.demand.offered[i] = get_real(f);
+    }
+    l.demand.room = get_real(f);
     version = get_uint(f);
     if (f->bad || !w->peer) {
         return;
@@ -332,7 +340,7 @@
     u->busy = l.busy;
     u->limit = l.limit;
     u->run_us = l.run_us;
-    u->shares = l.shares;
+    u->demand = l.demand;
     u->mine_told = u->mine;
     u->told_at = w->heard_at;
     note_version(w, version);
@@ -416,7 +424,9 @@
 answer_job(Job *j, const Result *r)
 {
     Wire *w = j->owner;
-    Load l = own_load(j->n, SpHttp_Now());
+    int64_t now = SpHttp_Now();
+    Load l = own_load(j->n, now);
+    SpShares path = path_shares(j->n, now, j->route);
     FrameOut f;
 
     g_hash_table_remove(w->jobs, &j->seq);
@@ -426,13 +436,13 @@
     put_uint(&f, r->outcome);
     put_uint(&f, (uint64_t)r->reached);
     put_uint(&f, (uint64_t)r->below);
+    put_uint(&f, SpShares_Pack(&path));
     put_uint(&f, (uint64_t)r->status);
     put_bin(&f, r->lines, r->lines_len);
     put_bin(&f, r->body, r->body_len);
     put_uint(&f, (uint64_t)l.busy);
     put_real(&f, l.limit);
     put_real(&f, l.run_us);
-    put_uint(&f, SpShares_Pack(&l.shares));
     end_frame(&f);
 }
 
@@ -440,7 +450,7 @@
 take_call(Wire *w, FrameIn *f)
 {
     JobOpts o = {.done = answer_job, .owner = w, .copy_body = 1};
-    char id[SP_ID_ROOM], service[SP_FLOW_NAME];
+    char id[SP_ID_ROOM], service[SP_FLOW_NAME], route[SP_FLOW_NAME];
     const char *head;
     size_t head_len;
     uint64_t *key;
@@ -449,6 +459,8 @@
     o.seq = get_uint(f);
     get_str(f, id, sizeof id);
     get_str(f, service, sizeof service);
+    get_str(f, route, sizeof route);
+    o.share = get_real(f);
     o.rank = (int)get_uint(f);
     o.begun = (int)get_uint(f);
     o.again = (int)get_uint(f);
@@ -461,6 +473,7 @@
     }
     o.id = id;
     o.service = service;
+    o.route = route;
     o.head = g_string_new_len(head, (gssize)head_len);
     key = g_new(uint64_t, 1);
     *key = o.seq;
@@ -499,6 +512,7 @@
     r.outcome = (SpOutcome)get_uint(f);
     r.reached = (int)get_uint(f);
     r.below = (int)get_uint(f);
+    r.path = SpShares_Unpack((uint32_t)get_uint(f));
     r.status = (int)get_uint(f);
     r.lines = get_bin(f, &r.lines_len);
     r.body = get_bin(f, &r.body_len);
@@ -508,7 +522,6 @@
     w->peer->up.busy = (int)get_uint(f);
     w->peer->up.limit = get_real(f);
     w->peer->up.run_us = get_real(f);
-    w->peer->up.shares = SpShares_Unpack((uint32_t)get_uint(f));
     w->peer->up.mine_told = w->peer->up.mine;
     c = g_hash_table_lookup(w->peer->calls, &seq);
     if (c) {
@@ -588,10 +601,12 @@
     key = g_new(uint64_t, 1);
     *key = ++p->seq;
     g_hash_table_insert(p->calls, key, c);
-    begin_frame(&f, w->out, FRAME_CALL, 10);
+    begin_frame(&f, w->out, FRAME_CALL, 12);
     put_uint(&f, *key);
     put_str(&f, o->id);
     put_str(&f, o->service);
+    put_str(&f, o->route);
+    put_real(&f, o->share);
     put_uint(&f, (uint64_t)o->rank);
     put_uint(&f, (uint64_t)o->begun);
     put_uint(&f, (uint64_t)o->again);
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -28,7 +28,7 @@
     put(s, "log_lines_lost_total", (double)SpLog_Lost());
     for (i = 0; i < SP_MAX_RANKS; i++) {
         g_string_append_printf(s, "sp_admitted_share{rank=\"%s\"} %.3f\n",
-                               ranks[i], l.shares.of[i]);
+                               ranks[i], n->admission.shares.of[i]);
     }
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -64,6 +64,7 @@
     size_t lines_len;
     const char *body;
     size_t body_len;
+    SpShares path; /* that the path of its route admits */
 } Result;
 
 /* The load of a node, as the others hear of it. */
@@ -72,13 +73,15 @@
     int busy;
     double limit;
     double run_us;
-    SpShares shares; /* that it and the services it calls admit */
+    SpDemand demand;
 } Load;
 
 /* A request at the node beside its instance. */
 typedef struct Job {
     Relay *n;
     SpTurn turn;
+    char route[SP_FLOW_NAME];
+    double share; /* by which the work it belongs to was admitted */
     SpExchange *x;
     char id[SP_ID_ROOM];
     int idempotent;
@@ -97,6 +100,8 @@
 } Job;
 
 typedef struct JobOpts {
+    const char *route;
+    double share;
     const char *id;
     int rank;
     int begun; /* 1: a run waits for it */
@@ -127,7 +132,6 @@
     char name[SP_FLOW_NAME];
     GPtrArray *ups; /* of SpUpstream */
     SpRetryBudget retries;
-    int64_t called_at; /* last call of the own instance to it */
 } Service;
 
 typedef struct RelayCounters {
@@ -168,17 +172,13 @@
     uv_signal_t term, intr, hup;
     RelayCounters n;
     Metrics *metrics;
+    SpPaths *paths;
 };
 
 /* sprelay.c */
 void take_config(Relay *n, const char *p, size_t len, const char *from);
 Service *service_of(Relay *n, const char *name);
 int is_relay_ready(const Relay *n);
-/* shares_of is what a service admits, shares_behind the least of those that
-   the own instance calls. */
-SpShares shares_of(const Service *s);
-SpShares shares_behind(const Relay *n, int64_t now);
-
 /* stall_of is the time for which this process has stood still: what it reads
    now may have waited for so long. */
 int64_t stall_of(const Relay *n);
@@ -191,6 +191,8 @@
 void drop_job(Job *j);
 void tick_instance(Relay *n, int64_t now);
 Load own_load(const Relay *n, int64_t now);
+/* path_shares is what a route admits here and behind. */
+SpShares path_shares(const Relay *n, int64_t now, const char *route);
 
 /* entry.c */
 int listen_callers(Relay *n, GError **err);
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -14,8 +14,6 @@
 /* The rest of the bound of a stop is kept for the process to end. */
 #define STOP_SLACK_US (600 * SP_MS)
 /* A node that just started waits so long for its links. */
-/* A service counts as called by the own instance for so long. */
-#define CALLED_US (2 * SP_SEC)
 /* Retries of one hop; the chain below it repeats them on each of its own. */
 #define HOP_SHARE 0.22
 /* The same where the calls of a repeated run are known and counted. */
@@ -61,46 +59,6 @@
     return s;
 }
 
-/* Nothing is admitted to a service without an instance that takes it. */
-SpShares
-shares_of(const Service *s)
-{
-    SpShares sum = {{0}};
-    guint i, k, ready = 0;
-
-    for (i = 0; i < s->ups->len; i++) {
-        const SpUpstream *u = g_ptr_array_index(s->ups, i);
-        if (u->takes) {
-            for (k = 0; k < SP_MAX_RANKS; k++) {
-                sum.of[k] += u->shares.of[k];
-            }
-            ready++;
-        }
-    }
-    for (k = 0; ready && k < SP_MAX_RANKS; k++) {
-        sum.of[k] /= ready;
-    }
-    return sum;
-}
-
-SpShares
-shares_behind(const Relay *n, int64_t now)
-{
-    SpShares least = SpShares_All(), one;
-    GHashTableIter it;
-    gpointer p;
-
-    g_hash_table_iter_init(&it, n->services);
-    while (g_hash_table_iter_next(&it, NULL, &p)) {
-        const Service *s = p;
-        if (s->called_at && now - s->called_at < CALLED_US) {
-            one = shares_of(s);
-            SpShares_Min(&least, &one);
-        }
-    }
-    return least;
-}
-
 static void
 apply_limits(Relay *n)
 {
@@ -207,20 +165,17 @@
 static void
 log_load(Relay *n, int64_t now)
 {
-    SpShares behind;
-
     if (now - n->logged_at < LOAD_LOG_US || n->n.jobs == n->logged_jobs) {
         return;
     }
-    behind = shares_behind(n, now);
     SpLog(SP_LOG_INFO, "load",
           "running=%d queued=%d limit=%.0f run_ms=%.1f room=%.1f "
-          "shares=%08" PRIx32 " behind=%08" PRIx32 " jobs=%" PRIu64
-          " refused=%" PRIu64 " retries=%" PRIu64 " opened=%" PRIu64,
+          "shares=%08" PRIx32 " jobs=%" PRIu64 " refused=%" PRIu64
+          " retries=%" PRIu64 " opened=%" PRIu64,
           n->lim.running, n->lim.queued, n->lim.limit, n->lim.run_us / SP_MS,
-          n->admission.room, SpShares_Pack(&n->admission.shares),
-          SpShares_Pack(&behind), n->n.jobs - n->logged_jobs,
-          n->n.jobs_refused, n->n.retries, SpPool_Opened(n->pool));
+          n->admission.own.room, SpShares_Pack(&n->admission.shares),
+          n->n.jobs - n->logged_jobs, n->n.jobs_refused, n->n.retries,
+          SpPool_Opened(n->pool));
     n->logged_at = now;
     n->logged_jobs = n->n.jobs;
 }
@@ -381,6 +336,7 @@
     n->rand = random_word();
     n->services = g_hash_table_new(g_str_hash, g_str_equal);
     n->metrics = Metrics_New();
+    n->paths = SpPaths_New();
     g_queue_init(&n->jobs);
     g_queue_init(&n->calls);
     n->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
--- a/test/run.sh
+++ b/test/run.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # run.sh OUT: all tests. Each test/*.t is a script whose output must equal
-# its .out; *.sh scripts drive the programs, *.sp scenarios the decisions.
+# its .out; *.sp scenarios and *.load patterns drive the decisions.
 set -u
 shopt -s nullglob
 OUT=$(realpath "$1")
@@ -45,6 +45,17 @@
     note "$t" $status
 done
 
+for t in test/*.load; do
+    "$OUT/sptest" load "$t" >"$tmp/got" 2>"$tmp/err"
+    status=$?
+    cat "$tmp/err"
+    if [ $status -eq 0 ]; then
+        diff -u "${t%.load}.out" "$tmp/got"
+        status=$?
+    fi
+    note "$t" $status
+done
+
 for t in test/*.t; do
     TMP="$tmp/$(basename "$t")"
     mkdir "$TMP"
--- a/test/sptest.c
+++ b/test/sptest.c
@@ -13,10 +13,13 @@
     if (argc == 3 && strcmp(argv[1], "run") == 0) {
         return run_script(argv[2]);
     }
+    if (argc == 3 && strcmp(argv[1], "load") == 0) {
+        return run_load(argv[2]);
+    }
     if (argc >= 2 && strcmp(argv[1], "soak") == 0) {
         return run_soak(argc - 1, argv + 1);
     }
-    fprintf(stderr, "usage: sptest unit | run FILE | "
+    fprintf(stderr, "usage: sptest unit | run FILE | load FILE | "
                     "soak [-s SEED] [-n SCHEDULES] [-v]\n");
     return 2;
 }
--- a/test/test.h
+++ b/test/test.h
@@ -15,6 +15,8 @@
 int run_units(void);
 /* script.c: a scenario file; returns the exit status */
 int run_script(const char *file);
+/* load.c: a file of load patterns; returns the exit status */
+int run_load(const char *file);
 /* soak.c: random schedules; returns the exit status */
 int run_soak(int argc, char **argv);
 
