--- a/relay/entry.c
+++ b/relay/entry.c
@@ -108,11 +108,12 @@
 
     SpLog(SP_LOG_INFO, "call-refused",
           "id=%s route=%s service=%s kind=%s status=%d ms=%" PRId64
-          " left_ms=%" PRId64 " tried=%d reached=%d config=%" PRIu64,
+          " left_ms=%" PRId64
+          " tried=%d reached=%d rank=%d share=%.2f config=%" PRIu64,
           c->id ? c->id : "-", c->route ? c->route->name : "-",
           c->service ? c->service : "-", SpKind_Info(k)->name, status,
           (now - c->arrived) / SP_MS, (c->deadline - now) / SP_MS, c->ntried,
-          c->reached, c->routes ? c->routes->version : 0);
+          c->reached, c->rank, c->share, c->routes ? c->routes->version : 0);
     Metrics_Answer(c->n->metrics, c->route ? c->route->name : NULL, k,
                    now - c->arrived);
     tell_parent(c);
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -108,6 +108,13 @@
     Result r = {.kind = k, .outcome = SP_NOT_RUN};
 
     j->n->n.jobs_refused++;
+    SpLog(SP_LOG_INFO, "run-refused",
+          "id=%s route=%s kind=%s rank=%d begun=%d wait_ms=%" PRId64
+          " running=%d queued=%d limit=%.0f left_ms=%" PRId64,
+          j->id, j->route, SpKind_Info(k)->name, j->turn.rank, j->turn.begun,
+          SpLimiter_Wait(&j->n->lim, j->turn.lane) / SP_MS, j->n->lim.running,
+          j->n->lim.queued, j->n->lim.limit,
+          (j->turn.deadline - SpHttp_Now()) / SP_MS);
     end_job(j, &r);
 }
 
@@ -280,6 +287,9 @@
     }
     if (j->x) {
         SpExchange_Abort(j->x);
+        SpLog(SP_LOG_INFO, "run-dropped",
+              "id=%s route=%s instance=%s ms=%" PRId64, j->id, j->route,
+              n->inst.last.id, (SpHttp_Now() - j->started) / SP_MS);
     }
     SpLimiter_End(&n->lim, SpHttp_Now(), &j->turn, -1);
     free_job(j);
