--- a/flow/flow.h
+++ b/flow/flow.h
@@ -83,6 +83,7 @@
     int64_t deadline;
     int queued;
     int running;
+    int64_t started; /* while running */
     void *user;
 } SpTurn;
 
@@ -94,7 +95,8 @@
     int running;
     int queued;
     GQueue queue[SP_LANES];
-    double run_us; /* smoothed time of one run */
+    double run_us;  /* smoothed time of one run */
+    int64_t starts; /* sum of the start times of those that run */
 } SpLimiter;
 
 void SpLimiter_Init(SpLimiter *l);
@@ -102,13 +104,16 @@
 /* SpLimiter_Offer: on SP_TURN_RUN it counts as running. */
 SpTurnState SpLimiter_Offer(SpLimiter *l, int64_t now, SpTurn *t);
 /* SpLimiter_Next takes the next to run; NULL if none may. */
-SpTurn *SpLimiter_Next(SpLimiter *l);
+SpTurn *SpLimiter_Next(SpLimiter *l, int64_t now);
 /* SpLimiter_Late takes a waiting one that can no longer be in time. */
 SpTurn *SpLimiter_Late(SpLimiter *l, int64_t now);
 /* SpLimiter_End ends a turn, queued or running; ran_us < 0: no sample. */
 void SpLimiter_End(SpLimiter *l, int64_t now, SpTurn *t, int64_t ran_us);
+/* SpLimiter_Run is the time that a run takes now: the smoothed one, or the
+   mean age of those under way if that is longer. */
+double SpLimiter_Run(const SpLimiter *l, int64_t now);
 /* SpLimiter_Wait is the time a new request in a lane would wait. */
-int64_t SpLimiter_Wait(const SpLimiter *l, int lane);
+int64_t SpLimiter_Wait(const SpLimiter *l, int64_t now, int lane);
 
 /*
  * Admission: which share of the new work of each rank a service takes.
--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -7,6 +7,8 @@
 #define RUN_WEIGHT 0.05
 /* What is taken for a run before the first one has ended. */
 #define FIRST_RUN_US (30.0 * SP_MS)
+/* The age of fewer runs than this says little. */
+#define FEW_RUNS 3
 /* An instance slows down when its last slots are in use. */
 #define FULL_SHARE 0.95
 /* Share of the time left that may go by in the queue. */
@@ -32,8 +34,19 @@
     l->limit = MAX(1, (int)(slots * FULL_SHARE));
 }
 
+double
+SpLimiter_Run(const SpLimiter *l, int64_t now)
+{
+    double age = 0;
+
+    if (l->running >= FEW_RUNS) {
+        age = (double)(now - l->starts / l->running);
+    }
+    return MAX(l->run_us, age);
+}
+
 int64_t
-SpLimiter_Wait(const SpLimiter *l, int lane)
+SpLimiter_Wait(const SpLimiter *l, int64_t now, int lane)
 {
     int i, ahead = 0;
 
@@ -43,7 +56,7 @@
     for (i = 0; i <= lane && i < SP_LANES; i++) {
         ahead += (int)l->queue[i].length;
     }
-    return (int64_t)((ahead + 1) * l->run_us / l->limit);
+    return (int64_t)((ahead + 1) * SpLimiter_Run(l, now) / l->limit);
 }
 
 static int
@@ -52,6 +65,15 @@
     return 2 * CLAMP(t->rank, 0, SP_MAX_RANKS - 1) + (t->begun ? 0 : 1);
 }
 
+static void
+start(SpLimiter *l, int64_t now, SpTurn *t)
+{
+    t->running = 1;
+    t->started = now;
+    l->running++;
+    l->starts += now;
+}
+
 SpTurnState
 SpLimiter_Offer(SpLimiter *l, int64_t now, SpTurn *t)
 {
@@ -63,11 +85,10 @@
         return SP_TURN_REFUSE;
     }
     if (l->queued == 0 && l->running < (int)l->limit) {
-        l->running++;
-        t->running = 1;
+        start(l, now, t);
         return SP_TURN_RUN;
     }
-    if ((double)SpLimiter_Wait(l, t->lane) > WAIT_SHARE * (double)left) {
+    if ((double)SpLimiter_Wait(l, now, t->lane) > WAIT_SHARE * (double)left) {
         return SP_TURN_REFUSE;
     }
     t->link.data = t;
@@ -87,7 +108,7 @@
 }
 
 SpTurn *
-SpLimiter_Next(SpLimiter *l)
+SpLimiter_Next(SpLimiter *l, int64_t now)
 {
     SpTurn *t;
     int i;
@@ -99,8 +120,7 @@
         if (l->queue[i].head) {
             t = l->queue[i].head->data;
             unqueue(l, t);
-            l->running++;
-            t->running = 1;
+            start(l, now, t);
             return t;
         }
     }
@@ -139,6 +159,7 @@
     }
     t->running = 0;
     l->running--;
+    l->starts -= t->started;
     if (ran_us >= 0) {
         l->run_us += RUN_WEIGHT * ((double)ran_us - l->run_us);
     }
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -62,7 +62,7 @@
     l.busy = n->lim.running + n->lim.queued;
     l.demand = n->admission.own;
     l.limit = n->lim.limit;
-    l.run_us = n->lim.run_us;
+    l.run_us = SpLimiter_Run(&n->lim, now);
     return l;
 }
 
@@ -112,8 +112,8 @@
           "id=%s route=%s kind=%s rank=%d begun=%d wait_ms=%" PRId64
           " running=%d queued=%d limit=%.0f left_ms=%" PRId64,
           j->id, j->route, SpKind_Info(k)->name, j->turn.rank, j->turn.begun,
-          SpLimiter_Wait(&j->n->lim, j->turn.lane) / SP_MS, j->n->lim.running,
-          j->n->lim.queued, j->n->lim.limit,
+          SpLimiter_Wait(&j->n->lim, SpHttp_Now(), j->turn.lane) / SP_MS,
+          j->n->lim.running, j->n->lim.queued, j->n->lim.limit,
           (j->turn.deadline - SpHttp_Now()) / SP_MS);
     end_job(j, &r);
 }
@@ -220,7 +220,7 @@
 {
     SpTurn *t;
 
-    while ((t = SpLimiter_Next(&n->lim)) != NULL) {
+    while ((t = SpLimiter_Next(&n->lim, SpHttp_Now())) != NULL) {
         run_job(t->user);
     }
 }
--- a/test/flow.c
+++ b/test/flow.c
@@ -94,16 +94,16 @@
     CU_ASSERT_EQUAL(SpLimiter_Offer(&l, 0, &fresh), SP_TURN_WAIT);
     CU_ASSERT_EQUAL(SpLimiter_Offer(&l, 0, &begun), SP_TURN_WAIT);
     CU_ASSERT_EQUAL(SpLimiter_Offer(&l, 0, &high), SP_TURN_WAIT);
-    CU_ASSERT_PTR_NULL(SpLimiter_Next(&l));
+    CU_ASSERT_PTR_NULL(SpLimiter_Next(&l, 0));
     SpLimiter_End(&l, 0, &run, 1000);
-    CU_ASSERT_PTR_EQUAL(SpLimiter_Next(&l), &high);
+    CU_ASSERT_PTR_EQUAL(SpLimiter_Next(&l, 0), &high);
     SpLimiter_End(&l, 0, &high, 1000);
-    CU_ASSERT_PTR_EQUAL(SpLimiter_Next(&l), &begun);
+    CU_ASSERT_PTR_EQUAL(SpLimiter_Next(&l, 0), &begun);
     SpLimiter_End(&l, 0, &begun, 1000);
-    CU_ASSERT_PTR_EQUAL(SpLimiter_Next(&l), &fresh);
+    CU_ASSERT_PTR_EQUAL(SpLimiter_Next(&l, 0), &fresh);
     SpLimiter_End(&l, 0, &low, -1); /* its caller left */
     SpLimiter_End(&l, 0, &fresh, 1000);
-    CU_ASSERT_PTR_NULL(SpLimiter_Next(&l));
+    CU_ASSERT_PTR_NULL(SpLimiter_Next(&l, 0));
     CU_ASSERT_EQUAL(l.running, 0);
     CU_ASSERT_EQUAL(l.queued, 0);
 }
--- a/test/load.c
+++ b/test/load.c
@@ -186,7 +186,7 @@
         }
     }
     SpAdmission_Step(&i->adm, w.now, &i->lim, &others);
-    while ((t = SpLimiter_Next(&i->lim)) != NULL) {
+    while ((t = SpLimiter_Next(&i->lim, w.now)) != NULL) {
         begin_run(t->user);
     }
 }
@@ -203,7 +203,7 @@
         in->up.busy = in->lim.running + in->lim.queued;
         in->up.mine_told = in->up.mine;
         in->up.limit = in->lim.limit;
-        in->up.run_us = in->lim.run_us;
+        in->up.run_us = SpLimiter_Run(&in->lim, w.now);
         for (k = 0; in->up.takes && k < SP_MAX_RANKS; k++) {
             sum.of[k] += in->adm.shares.of[k];
         }
