Retries by rank; what an instance turns away itself fills no slot

Change: a request that the instance shed is taken out of the demand; the last ranks may fill half of the retry budget, the second nine tenths.

--- a/flow/admission.c
+++ b/flow/admission.c
@@ -81,6 +81,13 @@
         1 / MAX(share, LEAST_SHARE);
 }
 
+void
+SpAdmission_Shed(SpAdmission *a, int rank, double share)
+{
+    rank = CLAMP(rank, 0, SP_MAX_RANKS - 1);
+    a->arrived[rank] -= 1 / MAX(share, LEAST_SHARE);
+}
+
 void
 SpDemand_Add(SpDemand *sum, const SpDemand *d)
 {
@@ -102,6 +109,7 @@
         now = a->arrived[i] * run_us / STEP_US;
         a->arrived[i] = 0;
         a->own.offered[i] += STEP_WEIGHT * (now - a->own.offered[i]);
+        a->own.offered[i] = MAX(a->own.offered[i], 0);
     }
 }
 
--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -152,17 +152,21 @@
     b->again[turn_to(b, now)]++;
 }
 
+/* Parts of the budget that the ranks may fill. */
+static const double parts[SP_MAX_RANKS] = {1, 0.9, 0.5, 0.5};
+
 int
-SpRetryBudget_Take(SpRetryBudget *b, int64_t now)
+SpRetryBudget_Take(SpRetryBudget *b, int64_t now, int rank)
 {
     int at = turn_to(b, now), i;
-    double first = 0, again = 0;
+    double first = 0, again = 0, part;
 
     for (i = 0; i < SP_RETRY_CELLS; i++) {
         first += b->first[i];
         again += b->again[i];
     }
-    if (again + 1 > b->o.ratio * first + b->o.slack) {
+    part = parts[CLAMP(rank, 0, SP_MAX_RANKS - 1)];
+    if (again + 1 > part * (b->o.ratio * first + b->o.slack)) {
         return 0;
     }
     b->again[at]++;
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -150,6 +150,9 @@
  * for 1/share of what was offered.
  */
 void SpAdmission_Arrived(SpAdmission *a, int rank, double share);
+/* SpAdmission_Shed takes one back that the instance turned away itself: it
+   filled no slot. */
+void SpAdmission_Shed(SpAdmission *a, int rank, double share);
 /*
  * SpAdmission_Step works the shares out anew, if it is time for it. others is
  * the sum over the other instances of the service.
@@ -238,8 +241,9 @@
 void SpRetryBudget_First(SpRetryBudget *b, int64_t now);
 /* SpRetryBudget_Again counts a send that a retry further up has caused. */
 void SpRetryBudget_Again(SpRetryBudget *b, int64_t now);
-/* SpRetryBudget_Take returns 1 and counts it if one more retry fits. */
-int SpRetryBudget_Take(SpRetryBudget *b, int64_t now);
+/* SpRetryBudget_Take returns 1 and counts it if one more retry fits; a part
+   of the budget is kept for the first ranks. */
+int SpRetryBudget_Take(SpRetryBudget *b, int64_t now, int rank);
 /* SpRetryBudget_Set: the bounds of this node vary with the number of nodes. */
 void SpRetryBudget_Set(SpRetryBudget *b, double ratio, double slack);
 
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -308,7 +308,7 @@
         return 0;
     }
     return SpRetryBudget_Take(&service_of(c->n, c->service)->retries,
-                              SpHttp_Now());
+                              SpHttp_Now(), c->rank);
 }
 
 void
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -160,6 +160,9 @@
         lines = g_string_sized_new(512);
         append_lines(lines, m);
         r.kind = reply.not_run ? SP_THROTTLED : SP_OK;
+        if (reply.not_run) {
+            SpAdmission_Shed(&n->admission, j->turn.rank, j->share);
+        }
         r.outcome = reply.not_run ? SP_NOT_RUN : SP_DONE;
         r.status = m->status;
         r.below = j->below;
--- a/test/flow.c
+++ b/test/flow.c
@@ -160,17 +160,27 @@
         SpRetryBudget_First(&b, SP_SEC);
     }
     for (i = 0; i < 100; i++) {
-        taken += SpRetryBudget_Take(&b, SP_SEC);
+        taken += SpRetryBudget_Take(&b, SP_SEC, 0);
     }
     CU_ASSERT_EQUAL(taken, 12);
+    /* the last ranks leave a part of it to the first */
+    SpRetryBudget_Init(&b, &o);
+    for (i = 0; i < 100; i++) {
+        SpRetryBudget_First(&b, SP_SEC);
+    }
+    for (i = taken = 0; i < 100; i++) {
+        taken += SpRetryBudget_Take(&b, SP_SEC, 2);
+    }
+    CU_ASSERT_EQUAL(taken, 6);
+    CU_ASSERT(SpRetryBudget_Take(&b, SP_SEC, 0));
     /* what is forced by retries further up leaves no room for own ones */
     SpRetryBudget_Init(&b, &o);
     for (i = 0; i < 100; i++) {
         SpRetryBudget_First(&b, SP_SEC);
         SpRetryBudget_Again(&b, SP_SEC);
     }
-    CU_ASSERT_FALSE(SpRetryBudget_Take(&b, SP_SEC));
-    CU_ASSERT(SpRetryBudget_Take(&b, 30 * SP_SEC));
+    CU_ASSERT_FALSE(SpRetryBudget_Take(&b, SP_SEC, 0));
+    CU_ASSERT(SpRetryBudget_Take(&b, 30 * SP_SEC, 0));
 }
 
 /*
