One write path for plain streams

Cause: link.c had its own copy of the read buffer and of the write that goes out at once as far as it can. Change: http/ shows its own; the copy goes. Behaviour as before: relay.t, relay-life.t, walks.t the same.

--- a/http/http.h
+++ b/http/http.h
@@ -135,6 +135,20 @@
 /* SpPool_Opened counts the connections opened since the start. */
 uint64_t SpPool_Opened(const SpPool *p);
 
+/*
+ * Plain streams, for protocols beside HTTP.
+ */
+
+/* One buffer for all reads of a loop: what is read is copied at once. */
+void SpHttp_Alloc(uv_handle_t *h, size_t hint, uv_buf_t *buf);
+
+/*
+ * SpHttp_Write sends and frees p (from g_malloc): at once as far as the
+ * socket takes it, the rest later. Returns the bytes sent at once, or a
+ * negative error when none was.
+ */
+ssize_t SpHttp_Write(uv_stream_t *s, char *p, size_t n);
+
 /* SpHttp_Now is a monotonic clock in microseconds that counts the time for
    which the machine was suspended. */
 int64_t SpHttp_Now(void);
--- a/http/priv.h
+++ b/http/priv.h
@@ -39,14 +39,4 @@
    a message. */
 int SpReader_End(SpReader *r);
 
-/* One buffer for all reads of a loop: what is read is copied at once. */
-void SpHttp_Alloc(uv_handle_t *h, size_t hint, uv_buf_t *buf);
-
-/*
- * SpHttp_Write sends and frees p (from g_malloc): at once as far as the
- * socket takes it, the rest later. Returns the bytes sent at once, or a
- * negative error when none was.
- */
-ssize_t SpHttp_Write(uv_stream_t *s, char *p, size_t n);
-
 #endif
--- a/relay/link.c
+++ b/relay/link.c
@@ -151,16 +151,6 @@
     }
 }
 
-static void
-alloc_read(uv_handle_t *h, size_t hint, uv_buf_t *buf)
-{
-    static char room[65536];
-
-    (void)h;
-    (void)hint;
-    *buf = uv_buf_init(room, sizeof room);
-}
-
 static Wire *
 new_wire(Relay *n, Peer *p)
 {
@@ -178,52 +168,17 @@
     return w;
 }
 
-typedef struct Write {
-    uv_write_t req;
-    GByteArray *bytes;
-} Write;
-
-static void
-on_written(uv_write_t *req, int status)
-{
-    Write *w = (Write *)req;
-
-    (void)status; /* the reading side learns that the connection broke */
-    g_byte_array_unref(w->bytes);
-    g_free(w);
-}
-
 static void
 flush_wire(Wire *w)
 {
-    uv_stream_t *st = (uv_stream_t *)&w->tcp;
-    uv_buf_t buf;
-    ssize_t sent = 0;
-    Write *req;
+    gsize n = w->out->len;
 
-    if (!w->up || w->gone || w->out->len == 0) {
+    if (!w->up || w->gone || n == 0) {
         return;
     }
-    if (uv_stream_get_write_queue_size(st) == 0) {
-        buf = uv_buf_init((char *)w->out->data, w->out->len);
-        sent = uv_try_write(st, &buf, 1);
-        if (sent < 0 && sent != UV_EAGAIN) {
-            return; /* the reading side ends it */
-        }
-        sent = MAX(sent, 0);
-    }
-    if ((guint)sent == w->out->len) {
-        g_byte_array_set_size(w->out, 0);
-        return;
-    }
-    g_byte_array_remove_range(w->out, 0, (guint)sent);
-    req = g_new(Write, 1);
-    req->bytes = w->out;
-    w->out = g_byte_array_new();
-    buf = uv_buf_init((char *)req->bytes->data, req->bytes->len);
-    if (uv_write(&req->req, st, &buf, 1, on_written) != 0) {
-        on_written(&req->req, 0);
-    }
+    /* if it fails, the reading side learns that the connection broke */
+    (void)SpHttp_Write((uv_stream_t *)&w->tcp,
+                       (char *)g_byte_array_steal(w->out, NULL), n);
 }
 
 void
@@ -650,7 +605,7 @@
     w->up = 1;
     w->heard_at = SpHttp_Now();
     uv_tcp_nodelay(&w->tcp, 1);
-    uv_read_start((uv_stream_t *)&w->tcp, alloc_read, on_wire_read);
+    uv_read_start((uv_stream_t *)&w->tcp, SpHttp_Alloc, on_wire_read);
     send_hello(w);
 }
 
@@ -795,7 +750,7 @@
     w->up = 1;
     w->told_at = w->heard_at;
     uv_tcp_nodelay(&w->tcp, 1);
-    uv_read_start((uv_stream_t *)&w->tcp, alloc_read, on_wire_read);
+    uv_read_start((uv_stream_t *)&w->tcp, SpHttp_Alloc, on_wire_read);
 }
 
 int
