--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -37,12 +37,13 @@
 double
 SpLimiter_Run(const SpLimiter *l, int64_t now)
 {
-    double age = 0;
+    int64_t begun;
 
-    if (l->running >= FEW_RUNS) {
-        age = (double)(now - l->starts / l->running);
+    if (l->running < FEW_RUNS) {
+        return l->run_us;
     }
-    return MAX(l->run_us, age);
+    begun = l->starts / l->running;
+    return MAX(l->run_us, (double)(now - begun));
 }
 
 int64_t
