--- a/flow/flow.h
+++ b/flow/flow.h
@@ -199,7 +199,6 @@
     double run_us;   /* smoothed, as last told */
     int fails;       /* in a row */
     int64_t bad_until;
-    int64_t told_at;
     void *user;
 } SpUpstream;
 
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -44,12 +44,6 @@
     GList node;
 };
 
-SpUpstream *
-call_target(const Call *c)
-{
-    return c->at;
-}
-
 static Job *
 parent_of(const Call *c)
 {
--- a/relay/link.c
+++ b/relay/link.c
@@ -297,7 +297,6 @@
     u->run_us = l.run_us;
     u->demand = l.demand;
     u->mine_told = u->mine;
-    u->told_at = w->heard_at;
     note_version(w, version);
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -198,7 +198,6 @@
 int listen_callers(Relay *n, GError **err);
 void end_send(Call *c, const Result *r);
 void tick_calls(Relay *n, int64_t now);
-SpUpstream *call_target(const Call *c);
 
 /* link.c */
 int open_links(Relay *n, GError **err);
@@ -218,6 +217,5 @@
 /* store.c */
 int open_store(Relay *n, GError **err);
 void tick_store(Relay *n, int64_t now);
-int store_is_read(const Relay *n);
 
 #endif
--- a/relay/store.c
+++ b/relay/store.c
@@ -39,7 +39,6 @@
     Relay *n;
     SpPool *pool;
     Task nodes, config;
-    int listed;
 };
 
 static void
@@ -192,7 +191,6 @@
         note_last_key(t, &rs);
         if (!t->after[0]) {
             t->step = STEP_REST;
-            t->s->listed = 1;
             t->next_at = SpHttp_Now() + LONELY_US;
         }
     }
@@ -309,9 +307,3 @@
     tick_task(&n->store->config, now);
     SpPool_Tick(n->store->pool, now);
 }
-
-int
-store_is_read(const Relay *n)
-{
-    return n->store->listed;
-}
