--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -1,7 +1,4 @@
-/* Which instance takes the next request, and how often one may retry. */
-#include <math.h>
-#include <string.h>
-
+/* Which instance takes the next request. */
 #include "flow/flow.h"
 
 /* What a run elsewhere costs beside its time: delay and bytes sent. */
@@ -13,6 +10,7 @@
 /* Beyond this share of the limit, a queue is near: what a full one costs. */
 #define NEARLY_FULL 0.85
 #define FULL_US (40.0 * SP_MS)
+/* After so many failures in a row an instance is avoided for BAD_US. */
 #define MAX_FAILS 3
 #define BAD_US (1 * SP_SEC)
 
@@ -105,70 +103,3 @@
         u->bad_until = now + BAD_US;
     }
 }
-
-/*
- * Retries.
- */
-
-void
-SpRetryBudget_Init(SpRetryBudget *b, const SpRetryOpts *o)
-{
-    memset(b, 0, sizeof *b);
-    b->o = *o;
-}
-
-void
-SpRetryBudget_Set(SpRetryBudget *b, double ratio, double slack)
-{
-    b->o.ratio = ratio;
-    b->o.slack = slack;
-}
-
-static int
-turn_to(SpRetryBudget *b, int64_t now)
-{
-    int64_t cell = now / (b->o.window_us / SP_RETRY_CELLS);
-
-    while (b->cell < cell) {
-        if (cell - b->cell > SP_RETRY_CELLS) {
-            b->cell = cell - SP_RETRY_CELLS;
-        }
-        b->cell++;
-        b->first[b->cell % SP_RETRY_CELLS] = 0;
-        b->again[b->cell % SP_RETRY_CELLS] = 0;
-    }
-    return (int)(cell % SP_RETRY_CELLS);
-}
-
-void
-SpRetryBudget_First(SpRetryBudget *b, int64_t now)
-{
-    b->first[turn_to(b, now)]++;
-}
-
-void
-SpRetryBudget_Again(SpRetryBudget *b, int64_t now)
-{
-    b->again[turn_to(b, now)]++;
-}
-
-/* Parts of the budget that the ranks may fill. */
-static const double parts[SP_MAX_RANKS] = {1, 0.9, 0.5, 0.5};
-
-int
-SpRetryBudget_Take(SpRetryBudget *b, int64_t now, int rank)
-{
-    int at = turn_to(b, now), i;
-    double first = 0, again = 0, part;
-
-    for (i = 0; i < SP_RETRY_CELLS; i++) {
-        first += b->first[i];
-        again += b->again[i];
-    }
-    part = parts[CLAMP(rank, 0, SP_MAX_RANKS - 1)];
-    if (again + 1 > part * (b->o.ratio * first + b->o.slack)) {
-        return 0;
-    }
-    b->again[at]++;
-    return 1;
-}
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -12,13 +12,14 @@
 #define SP_FRAME_BYTES ((size_t)80 << 20)
 
 typedef enum {
-    FRAME_HELLO,  /* name, link address, zone, service, lifetime, state..,
+    FRAME_HELLO,  /* name, link address, zone, service, lifetime, the state,
                      addresses of the nodes known */
-    FRAME_STATE,  /* ready, busy, limit, run time, configuration */
-    FRAME_CALL,   /* seq, id, service, rank, idempotent, time left, head,
-                     body */
-    FRAME_ANSWER, /* seq, kind, outcome, reached, status, lines, body,
-                     busy, limit, run time */
+    FRAME_STATE,  /* takes, busy, limit, run time, demand by rank, room,
+                     version of the configuration */
+    FRAME_CALL,   /* seq, id, service, route, share, rank, begun, again,
+                     idempotent, time left, head, body */
+    FRAME_ANSWER, /* seq, kind, outcome, reached, below, shares of the path,
+                     status, lines, body, busy, limit, run time */
     FRAME_CANCEL, /* seq */
     FRAME_WANT,   /* the configuration is asked for */
     FRAME_CONFIG, /* its text */
--- a/relay/link.c
+++ b/relay/link.c
@@ -14,6 +14,7 @@
 /* After this silence a link is used only if there is no other. */
 #define SUSPECT_US (700 * SP_MS)
 #define CONNECT_US (1 * SP_SEC)
+/* Pauses between tries to connect. */
 #define RETRY_MIN_US (200 * SP_MS)
 #define RETRY_MAX_US (2 * SP_SEC)
 /* An address that no node answered at for so long is forgotten. */
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -13,7 +13,6 @@
 #define VERSION "0.2.0"
 /* The rest of the bound of a stop is kept for the process to end. */
 #define STOP_SLACK_US (600 * SP_MS)
-/* A node that just started waits so long for its links. */
 /* Retries of one hop; the chain below it repeats them on each of its own. */
 #define HOP_SHARE 0.22
 /* The same where the calls of a repeated run are known and counted. */
@@ -25,9 +24,11 @@
 /* The log: what may wait for its reader, and lines in a second. */
 #define LOG_BYTES ((size_t)256 << 10)
 #define LOG_PER_S 100
+/* A busy node logs its load this often. */
 #define LOAD_LOG_US (1 * SP_SEC)
 /* A tick that is later than this tells that the process stood still. */
 #define STALL_US (300 * SP_MS)
+/* A node that just started waits so long for its links. */
 #define SETTLE_US (1500 * SP_MS)
 
 static const SpAdapter *const adapters[] = {&SpPlatform_Adapter};
