relay.t waits until the relay is up

Cause: under AddressSanitizer the first request of relay.t came before the listener; the wait took an empty answer for one. Change: it waits for a status.

--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -113,6 +113,7 @@
     raw "$(ip_of "$1"):7404" | status_of; }
 runs() { cat "$DIR"/inst-*.out | grep -c "^run id=$1 "; }
 served() { [ "$(code "$@")" = 200 ]; }
+is_up() { [ -n "$(ready "$1")" ]; }
 
 : >"$DIR/layout"
 run store "$OUT/spstore" -l "$STORE"
--- a/test/relay.t
+++ b/test/relay.t
@@ -6,7 +6,7 @@
 SHORT=$(route short /short/ safe 0.3 0 back)
 
 node front-1 front
-until_ok 5 ready front-1
+until_ok 5 is_up front-1
 echo "without a configuration: $(code front-1 n0 GET /safe/x)"
 node back-1 back
 node back-2 back
