--- a/test/run.sh
+++ b/test/run.sh
@@ -34,27 +34,19 @@
 [ $status -eq 0 ] || cat "$tmp/soak"
 note soak $status
 
-for t in test/*.sp; do
-    "$OUT/sptest" run "$t" >"$tmp/got" 2>"$tmp/err"
+# decisions VERB FILE: sptest's output for a file against the .out beside it
+decisions() {
+    "$OUT/sptest" "$1" "$2" >"$tmp/got" 2>"$tmp/err"
     status=$?
     cat "$tmp/err"
     if [ $status -eq 0 ]; then
-        diff -u "${t%.sp}.out" "$tmp/got"
+        diff -u "${2%.*}.out" "$tmp/got"
         status=$?
     fi
-    note "$t" $status
-done
-
-for t in test/*.load; do
-    "$OUT/sptest" load "$t" >"$tmp/got" 2>"$tmp/err"
-    status=$?
-    cat "$tmp/err"
-    if [ $status -eq 0 ]; then
-        diff -u "${t%.load}.out" "$tmp/got"
-        status=$?
-    fi
-    note "$t" $status
-done
+    note "$2" $status
+}
+for t in test/*.sp; do decisions run "$t"; done
+for t in test/*.load; do decisions load "$t"; done
 
 for t in test/*.t; do
     TMP="$tmp/$(basename "$t")"
