A node that has just started counts as a usual one

Cause: a node began with a guess of 30 ms for a run of its instance and told it to the others as if measured.

Now it tells no run time before a run has ended, and the chooser takes the mean of the others for it; the first runs count more in the smoothed time. Test 'chooser, fresh node' failed before (all 400 sends to the fresh one) and passes.

--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -3,7 +3,7 @@
 
 /* What a run elsewhere costs beside its time: delay and bytes sent. */
 #define FAR_US (60.0 * SP_MS)
-/* What is taken for a run of an instance that has not told any. */
+/* What is taken for a run where no instance has told any. */
 #define UNKNOWN_RUN_US (30.0 * SP_MS)
 /* Random part of a cost, so that many nodes do not choose alike. */
 #define NOISE 0.1
@@ -27,16 +27,30 @@
     return 0;
 }
 
+/* The mean run of those that have told one. */
 static double
-cost_of(const SpUpstream *u)
+usual_run(SpUpstream *const *list, guint n)
+{
+    double sum = 0;
+    guint i, told = 0;
+
+    for (i = 0; i < n; i++) {
+        if (list[i]->run_us > 0) {
+            sum += list[i]->run_us;
+            told++;
+        }
+    }
+    return told ? sum / told : UNKNOWN_RUN_US;
+}
+
+static double
+cost_of(const SpUpstream *u, double usual)
 {
     double busy = u->busy + MAX(0, u->mine - u->mine_told) + 1;
-    double limit = MAX(1.0, u->limit), run = u->run_us;
+    double limit = MAX(1.0, u->limit);
+    double run = u->run_us > 0 ? u->run_us : usual;
     double cost, over = busy / limit;
 
-    if (run <= 0) {
-        run = UNKNOWN_RUN_US;
-    }
     cost = run * (1 + over * over * over);
     if (over > NEARLY_FULL) {
         cost += FULL_US * (over - NEARLY_FULL) / (1 - NEARLY_FULL);
@@ -49,7 +63,7 @@
      int bad)
 {
     SpUpstream *best = NULL;
-    double low = 0, cost;
+    double low = 0, cost, usual = usual_run(list, n);
     guint i;
 
     for (i = 0; i < n; i++) {
@@ -58,7 +72,7 @@
             (!bad && u->bad_until > ch->now)) {
             continue;
         }
-        cost = cost_of(u) * (1 + NOISE * SpRand_Unit(ch->rand));
+        cost = cost_of(u, usual) * (1 + NOISE * SpRand_Unit(ch->rand));
         if (!best || cost < low) {
             best = u;
             low = cost;
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -95,7 +95,8 @@
     int running;
     int queued;
     GQueue queue[SP_LANES];
-    double run_us;  /* smoothed time of one run */
+    double run_us;  /* smoothed time of one run, a guess before the first */
+    int measured;   /* runs that were */
     int64_t starts; /* sum of the start times of those that run */
 } SpLimiter;
 
@@ -112,6 +113,9 @@
 /* SpLimiter_Run is the time that a run takes now: the smoothed one, or the
    mean age of those under way if that is longer. */
 double SpLimiter_Run(const SpLimiter *l, int64_t now);
+/* SpLimiter_Told is what other nodes hear of it: 0 before any run has ended
+   and while few are under way. */
+double SpLimiter_Told(const SpLimiter *l, int64_t now);
 /* SpLimiter_Wait is the time a new request in a lane would wait. */
 int64_t SpLimiter_Wait(const SpLimiter *l, int64_t now, int lane);
 
@@ -196,7 +200,7 @@
     SpDemand demand; /* as last told */
     int mine;        /* sent from here and not answered */
     int mine_told;   /* mine when busy was told */
-    double run_us;   /* smoothed, as last told */
+    double run_us;   /* smoothed, as last told; 0: not known yet */
     int fails;       /* in a row */
     int64_t bad_until;
     void *user;
--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -46,6 +46,14 @@
     return MAX(l->run_us, (double)(now - begun));
 }
 
+double
+SpLimiter_Told(const SpLimiter *l, int64_t now)
+{
+    double run = SpLimiter_Run(l, now);
+
+    return l->measured || run > FIRST_RUN_US ? run : 0;
+}
+
 int64_t
 SpLimiter_Wait(const SpLimiter *l, int64_t now, int lane)
 {
@@ -162,6 +170,8 @@
     l->running--;
     l->starts -= t->started;
     if (ran_us >= 0) {
-        l->run_us += RUN_WEIGHT * ((double)ran_us - l->run_us);
+        l->measured++;
+        l->run_us +=
+            MAX(RUN_WEIGHT, 1.0 / l->measured) * ((double)ran_us - l->run_us);
     }
 }
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -62,7 +62,7 @@
     l.busy = n->lim.running + n->lim.queued;
     l.demand = n->admission.own;
     l.limit = n->lim.limit;
-    l.run_us = SpLimiter_Run(&n->lim, now);
+    l.run_us = SpLimiter_Told(&n->lim, now);
     return l;
 }
 
--- a/test/flow.c
+++ b/test/flow.c
@@ -148,6 +148,32 @@
     CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &far);
 }
 
+/* A node that has just started knows no run time of its instance: it is not
+   taken for a fast one. */
+static void
+test_chooser_fresh(void)
+{
+    enum { COUNT = 4, SENDS = 400 };
+    SpUpstream up[COUNT], *list[COUNT];
+    uint64_t rand = 1;
+    SpChoice ch = {0, NULL, 0, &rand};
+    int i, fresh = 0;
+
+    memset(up, 0, sizeof up);
+    for (i = 0; i < COUNT; i++) {
+        up[i].takes = SP_TAKES_ALL;
+        up[i].near = 1;
+        up[i].limit = 200;
+        up[i].run_us = i ? 150 * SP_MS : 0;
+        up[i].busy = i ? 30 : 0;
+        list[i] = &up[i];
+    }
+    for (i = 0; i < SENDS; i++) {
+        fresh += SpChooser_Pick(list, COUNT, &ch) == &up[0];
+    }
+    CU_ASSERT(fresh <= SENDS / COUNT * 3 / 2);
+}
+
 static void
 test_retry_budget(void)
 {
@@ -376,6 +402,7 @@
                            {"flow", "limiter order", test_limiter_order},
                            {"flow", "limiter late", test_limiter_late},
                            {"flow", "chooser", test_chooser},
+                           {"flow", "chooser, fresh node", test_chooser_fresh},
                            {"flow", "retry budget", test_retry_budget},
                            {"platform", "config", test_config},
                            {"platform", "bad config", test_bad_config},
--- a/test/load.c
+++ b/test/load.c
@@ -203,7 +203,7 @@
         in->up.busy = in->lim.running + in->lim.queued;
         in->up.mine_told = in->up.mine;
         in->up.limit = in->lim.limit;
-        in->up.run_us = SpLimiter_Run(&in->lim, w.now);
+        in->up.run_us = SpLimiter_Told(&in->lim, w.now);
         for (k = 0; in->up.takes && k < SP_MAX_RANKS; k++) {
             sum.of[k] += in->adm.shares.of[k];
         }
