Another zone costs by the bytes of a route and within its aim

A constant 60 ms stood for all of them. Ruled out: lack of room (28 of 168 slots in use there).

Now a route's usual bytes set what another zone costs, at most 0.3 of its aim.

Test 'chooser, other zones'.

--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -1,8 +1,13 @@
 /* Which instance takes the next request. */
 #include "flow/flow.h"
 
-/* What a run elsewhere costs beside its time: delay and bytes sent. */
-#define FAR_US (60.0 * SP_MS)
+/* What a run in another zone costs beside its time: the delay, and the bytes
+   that are charged. No more than a share of the aim: a request that the own
+   zone would make late goes elsewhere. */
+#define FAR_US (40.0 * SP_MS)
+#define FAR_US_PER_KB (30.0 * SP_MS)
+#define FAR_AIM_SHARE 0.3
+#define KB 1024.0
 /* What is taken for a run where no instance has told any. */
 #define UNKNOWN_RUN_US (30.0 * SP_MS)
 /* Random part of a cost, so that many nodes do not choose alike. */
@@ -43,8 +48,19 @@
     return told ? sum / told : UNKNOWN_RUN_US;
 }
 
+int64_t
+SpChooser_Far(double bytes, int64_t aim_us)
+{
+    double us = FAR_US + FAR_US_PER_KB * bytes / KB;
+
+    if (aim_us > 0) {
+        us = MIN(us, FAR_AIM_SHARE * (double)aim_us);
+    }
+    return (int64_t)us;
+}
+
 static double
-cost_of(const SpUpstream *u, double usual)
+cost_of(const SpUpstream *u, double usual, int64_t far_us)
 {
     double busy = u->busy + MAX(0, u->mine - u->mine_told) + 1;
     double limit = MAX(1.0, u->limit);
@@ -55,7 +71,7 @@
     if (over > NEARLY_FULL) {
         cost += FULL_US * (over - NEARLY_FULL) / (1 - NEARLY_FULL);
     }
-    return u->near ? cost : cost + FAR_US;
+    return u->near ? cost : cost + (double)far_us;
 }
 
 static SpUpstream *
@@ -72,7 +88,8 @@
             (!bad && u->bad_until > ch->now)) {
             continue;
         }
-        cost = cost_of(u, usual) * (1 + NOISE * SpRand_Unit(ch->rand));
+        cost = cost_of(u, usual, ch->far_us) *
+               (1 + NOISE * SpRand_Unit(ch->rand));
         if (!best || cost < low) {
             best = u;
             low = cost;
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -181,6 +181,10 @@
 SpShares SpPaths_Shares(SpPaths *ps, int64_t now, const char *route);
 /* SpPaths_Behind is the least of what the routes that it calls admit. */
 SpShares SpPaths_Behind(SpPaths *ps, int64_t now, const char *route);
+/* SpPaths_Sized notes the bytes of a request on a route and its answer. */
+void SpPaths_Sized(SpPaths *ps, const char *route, size_t bytes);
+/* SpPaths_Bytes is the usual number of them; 0 if not known. */
+double SpPaths_Bytes(SpPaths *ps, const char *route);
 
 /*
  * Chooser: which instance of a service takes the next request.
@@ -209,6 +213,7 @@
 /* tried lists the instances that the request was already sent to. */
 typedef struct SpChoice {
     int64_t now;
+    int64_t far_us; /* what another zone costs, beside the time of the run */
     SpUpstream *const *tried;
     int ntried;
     uint64_t *rand;
@@ -217,6 +222,9 @@
 /* SpChooser_Pick takes the cheapest of n; NULL if none takes requests. */
 SpUpstream *SpChooser_Pick(SpUpstream *const *list, guint n,
                            const SpChoice *ch);
+/* SpChooser_Far is what another zone costs a request of so many bytes, whose
+   answer is worth most within aim_us (0: no such time). */
+int64_t SpChooser_Far(double bytes, int64_t aim_us);
 void SpUpstream_Sent(SpUpstream *u);
 /* SpUpstream_Ended: ok 0 counts a failure against it. */
 void SpUpstream_Ended(SpUpstream *u, int64_t now, int ok);
--- a/flow/paths.c
+++ b/flow/paths.c
@@ -14,10 +14,12 @@
 #define TOLD_US (1 * SP_SEC)
 /* Weight of one answer. */
 #define TOLD_WEIGHT 0.2
+#define SIZE_WEIGHT 0.05
 
 typedef struct Path {
     SpShares told;
     int64_t told_at;      /* 0: never */
+    double bytes;         /* smoothed, of a request and its answer */
     GHashTable *children; /* route name to the time of the last call */
 } Path;
 
@@ -101,3 +103,17 @@
     }
     return least;
 }
+
+void
+SpPaths_Sized(SpPaths *ps, const char *route, size_t bytes)
+{
+    Path *p = path_of(ps, route);
+
+    p->bytes += (p->bytes > 0 ? SIZE_WEIGHT : 1) * ((double)bytes - p->bytes);
+}
+
+double
+SpPaths_Bytes(SpPaths *ps, const char *route)
+{
+    return path_of(ps, route)->bytes;
+}
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -245,7 +245,9 @@
 {
     Service *s = service_of(c->n, c->service);
     int64_t now = SpHttp_Now();
-    SpChoice ch = {now, c->tried, 0, &c->n->rand};
+    double bytes = SpPaths_Bytes(c->n->paths, c->route->name);
+    SpChoice ch = {now, SpChooser_Far(bytes, c->route->aim_us), c->tried, 0,
+                   &c->n->rand};
     static const SpShares nothing;
     SpUpstream *u;
 
@@ -279,6 +281,9 @@
     char *lines = g_strndup(r->lines, r->lines_len);
 
     c->n->n.answered++;
+    SpPaths_Sized(c->n->paths, c->route->name,
+                  c->head->len + c->msg->body_len + r->lines_len +
+                      r->body_len);
     Metrics_Answer(c->n->metrics, c->route->name,
                    r->status >= 500 ? SP_INTERNAL : SP_OK,
                    SpHttp_Now() - c->arrived);
--- a/test/flow.c
+++ b/test/flow.c
@@ -132,7 +132,7 @@
     SpUpstream far = {.takes = SP_TAKES_ALL, .limit = 10};
     SpUpstream *list[] = {&near, &far}, *tried[] = {&near};
     uint64_t seed = 1;
-    SpChoice ch = {0, tried, 0, &seed};
+    SpChoice ch = {0, SpChooser_Far(0, 0), tried, 0, &seed};
 
     near.run_us = far.run_us = 20 * SP_MS;
     CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &near);
@@ -148,6 +148,31 @@
     CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &far);
 }
 
+/* Bytes between zones are charged: a slower instance of the own zone is good
+   enough as long as the answer is in time. */
+static void
+test_chooser_far(void)
+{
+    SpUpstream near = {.near = 1, .takes = SP_TAKES_ALL, .limit = 100};
+    SpUpstream far = {.takes = SP_TAKES_ALL, .limit = 100};
+    SpUpstream *list[] = {&near, &far};
+    const double big = 5500, small = 300;
+    uint64_t seed = 1;
+    SpChoice ch = {0, 0, NULL, 0, &seed};
+
+    near.run_us = 200 * SP_MS;
+    far.run_us = 100 * SP_MS;
+    ch.far_us = SpChooser_Far(big, 1200 * SP_MS);
+    CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &near);
+    ch.far_us = SpChooser_Far(big, 120 * SP_MS);
+    CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &far);
+    ch.far_us = SpChooser_Far(small, 1200 * SP_MS);
+    CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &far);
+    near.busy = 130; /* it has a queue */
+    ch.far_us = SpChooser_Far(big, 1200 * SP_MS);
+    CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &far);
+}
+
 /* A node that has just started knows no run time of its instance: it is not
    taken for a fast one. */
 static void
@@ -156,7 +181,7 @@
     enum { COUNT = 4, SENDS = 400 };
     SpUpstream up[COUNT], *list[COUNT];
     uint64_t rand = 1;
-    SpChoice ch = {0, NULL, 0, &rand};
+    SpChoice ch = {0, SpChooser_Far(0, 0), NULL, 0, &rand};
     int i, fresh = 0;
 
     memset(up, 0, sizeof up);
@@ -397,17 +422,19 @@
     g_array_free(rs.list, TRUE);
 }
 
-const Unit flow_units[] = {{"flow", "routes", test_routes},
-                           {"flow", "split", test_split},
-                           {"flow", "limiter order", test_limiter_order},
-                           {"flow", "limiter late", test_limiter_late},
-                           {"flow", "chooser", test_chooser},
-                           {"flow", "chooser, fresh node", test_chooser_fresh},
-                           {"flow", "retry budget", test_retry_budget},
-                           {"platform", "config", test_config},
-                           {"platform", "bad config", test_bad_config},
-                           {"platform", "report", test_report},
-                           {"platform", "bad report", test_bad_report},
-                           {"platform", "records", test_records},
-                           {"platform", "newest", test_newest},
-                           {NULL, NULL, NULL}};
+const Unit flow_units[] = {
+    {"flow", "routes", test_routes},
+    {"flow", "split", test_split},
+    {"flow", "limiter order", test_limiter_order},
+    {"flow", "limiter late", test_limiter_late},
+    {"flow", "chooser", test_chooser},
+    {"flow", "chooser, other zones", test_chooser_far},
+    {"flow", "chooser, fresh node", test_chooser_fresh},
+    {"flow", "retry budget", test_retry_budget},
+    {"platform", "config", test_config},
+    {"platform", "bad config", test_bad_config},
+    {"platform", "report", test_report},
+    {"platform", "bad report", test_bad_report},
+    {"platform", "records", test_records},
+    {"platform", "newest", test_newest},
+    {NULL, NULL, NULL}};
--- a/test/load.c
+++ b/test/load.c
@@ -93,7 +93,7 @@
 static int
 send_call(Root *r)
 {
-    SpChoice ch = {w.now, NULL, 0, &w.rand};
+    SpChoice ch = {w.now, SpChooser_Far(0, 0), NULL, 0, &w.rand};
     SpUpstream *u = SpChooser_Pick(w.ups, (guint)w.ninst, &ch);
 
     if (!u) {
