Demand is counted over the time that has passed

Demand was what had arrived divided by the nominal 100 ms of a step; the ticks bring a step every 100 to 120 ms, so demand was put up to a fifth too high. Ruled out: the fill of the limit (0.96) and the weight of what answers tell.

Unit test 'admission, late steps' failed before (a share below 1 at 0.9 of the room).

--- a/flow/admission.c
+++ b/flow/admission.c
@@ -100,13 +100,13 @@
 }
 
 static void
-count_offered(SpAdmission *a, double run_us)
+count_offered(SpAdmission *a, double run_us, double elapsed_us)
 {
     double now;
     int i;
 
     for (i = 0; i < SP_MAX_RANKS; i++) {
-        now = a->arrived[i] * run_us / STEP_US;
+        now = a->arrived[i] * run_us / elapsed_us;
         a->arrived[i] = 0;
         a->own.offered[i] += STEP_WEIGHT * (now - a->own.offered[i]);
         a->own.offered[i] = MAX(a->own.offered[i], 0);
@@ -140,12 +140,13 @@
 {
     double queue = MAX(0, l->queued - l->limit * QUEUE_SHARE);
     SpDemand all_of_it = *others;
+    int64_t elapsed = now - a->at;
 
-    if (now - a->at < STEP_US) {
+    if (elapsed < STEP_US) {
         return;
     }
     a->at = now;
-    count_offered(a, l->run_us);
+    count_offered(a, l->run_us, (double)elapsed);
     a->own.room = FILL * l->limit - queue * l->run_us / DRAIN_US;
     SpDemand_Add(&all_of_it, &a->own);
     all_of_it.room = MAX(all_of_it.room, 0);
--- a/test/flow.c
+++ b/test/flow.c
@@ -199,6 +199,36 @@
     CU_ASSERT(fresh <= SENDS / COUNT * 3 / 2);
 }
 
+/* The ticks that drive admission are not exact: what arrives in a longer step
+   is no higher demand. */
+static void
+test_admission_late_steps(void)
+{
+    const int64_t step = 119 * SP_MS, run = 10 * SP_MS;
+    const double fits = 0.9; /* of the room */
+    SpDemand others = {{0}, 0};
+    SpAdmission a;
+    SpLimiter l;
+    double each;
+    int64_t now = SP_SEC;
+    int i, k;
+
+    SpLimiter_Init(&l);
+    SpLimiter_SetSlots(&l, 100);
+    l.run_us = (double)run;
+    SpAdmission_Init(&a);
+    SpAdmission_Step(&a, now, &l, &others);
+    each = fits * a.own.room * (double)step / (double)run;
+    for (i = 0; i < 50; i++) {
+        for (k = 0; k < (int)each; k++) {
+            SpAdmission_Arrived(&a, 2, 1);
+        }
+        now += step;
+        SpAdmission_Step(&a, now, &l, &others);
+    }
+    CU_ASSERT(a.shares.of[2] >= 1);
+}
+
 static void
 test_retry_budget(void)
 {
@@ -430,6 +460,7 @@
     {"flow", "chooser", test_chooser},
     {"flow", "chooser, other zones", test_chooser_far},
     {"flow", "chooser, fresh node", test_chooser_fresh},
+    {"flow", "admission, late steps", test_admission_late_steps},
     {"flow", "retry budget", test_retry_budget},
     {"platform", "config", test_config},
     {"platform", "bad config", test_bad_config},
