Queues of an overloaded service are worked off in 0.4 s; demand by its rate

Room was lowered by what works the queue off in 1 s, too little against what is under way. Demand was also smoothed in slots, so that a service that speeds up after a cold start kept shedding.

--- a/flow/admission.c
+++ b/flow/admission.c
@@ -18,7 +18,7 @@
 #define FILL 0.96
 /* A queue longer than this share of the limit is worked off in DRAIN_US. */
 #define QUEUE_SHARE 0.3
-#define DRAIN_US (1000.0 * SP_MS)
+#define DRAIN_US (400.0 * SP_MS)
 #define LEAST_SHARE 0.02
 
 /* The least share of each rank that is admitted. */
@@ -99,6 +99,8 @@
     sum->room += d->room;
 }
 
+/* The rate is smoothed, not the slots that it takes: an instance that speeds
+   up has room at once. */
 static void
 count_offered(SpAdmission *a, double run_us, double elapsed_us)
 {
@@ -106,10 +108,11 @@
     int i;
 
     for (i = 0; i < SP_MAX_RANKS; i++) {
-        now = a->arrived[i] * run_us / elapsed_us;
+        now = a->arrived[i] * SP_SEC / elapsed_us;
         a->arrived[i] = 0;
-        a->own.offered[i] += STEP_WEIGHT * (now - a->own.offered[i]);
-        a->own.offered[i] = MAX(a->own.offered[i], 0);
+        a->rate[i] += STEP_WEIGHT * (now - a->rate[i]);
+        a->rate[i] = MAX(a->rate[i], 0);
+        a->own.offered[i] = a->rate[i] * run_us / SP_SEC;
     }
 }
 
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -143,6 +143,7 @@
 typedef struct SpAdmission {
     SpShares shares;              /* what the service takes */
     double arrived[SP_MAX_RANKS]; /* offered requests since the last step */
+    double rate[SP_MAX_RANKS];    /* smoothed, of them a second */
     SpDemand own;                 /* at this instance, as of the last step */
     int64_t at;
 } SpAdmission;
