A node that has just started asks its instance; peers return at once

And a peer that had just connected was reached only at the next try, up to 2 s later. Ruled out: the configuration, which is there within 50 ms.

relay/check.c makes a status check of the own instance until a report has come, and takes it as one that runs what others of its service do. Reports go before checks. A hello from a peer ends the pause before the next try.

relay-life.t has an instance that reports once a minute: its node is killed and serves again; failed before.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -45,12 +45,18 @@
     int64_t header_us, idle_us;
 } SpRouteLimits;
 
+/* What is configured for the instances of a service. */
+typedef struct SpServiceConf {
+    int connections; /* that an instance accepts; 0 if not told */
+    char check[128]; /* path of its status check; empty if it has none */
+} SpServiceConf;
+
 /* A configuration; counted references keep it while requests use it. */
 typedef struct SpRoutes {
     uint64_t version;
     SpRouteLimits limits;
     GHashTable *hosts;    /* name to GPtrArray of SpPathRoute, longest first */
-    GHashTable *services; /* name to the connections an instance accepts */
+    GHashTable *services; /* name to SpServiceConf */
     char *text;           /* as it was published */
     size_t text_len;
     int refs;
@@ -65,6 +71,11 @@
 SpPathRoute *SpRoutes_Find(const SpRoutes *rs, const char *host,
                            const char *path);
 guint SpRoutes_Count(const SpRoutes *rs);
+/* SpRoutes_SetService takes a copy of *c. */
+void SpRoutes_SetService(SpRoutes *rs, const char *name,
+                         const SpServiceConf *c);
+/* SpRoutes_Service returns NULL if nothing is configured. */
+const SpServiceConf *SpRoutes_Service(const SpRoutes *rs, const char *name);
 /* SpPathRoute_Part takes the next part in turn, in proportion to weights. */
 const char *SpPathRoute_Part(SpPathRoute *r);
 
@@ -102,6 +113,9 @@
 
 void SpLimiter_Init(SpLimiter *l);
 void SpLimiter_SetSlots(SpLimiter *l, int slots);
+/* SpLimiter_Assume sets the limit of an instance that has not told its slots
+   yet. */
+void SpLimiter_Assume(SpLimiter *l, double limit);
 /* SpLimiter_Offer: on SP_TURN_RUN it counts as running. */
 SpTurnState SpLimiter_Offer(SpLimiter *l, int64_t now, SpTurn *t);
 /* SpLimiter_Next takes the next to run; NULL if none may. */
--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -54,6 +54,12 @@
     return l->measured || run > FIRST_RUN_US ? run : 0;
 }
 
+void
+SpLimiter_Assume(SpLimiter *l, double limit)
+{
+    l->limit = MAX(1, limit);
+}
+
 int64_t
 SpLimiter_Wait(const SpLimiter *l, int64_t now, int lane)
 {
--- a/flow/routes.c
+++ b/flow/routes.c
@@ -19,7 +19,7 @@
     rs->hosts =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_list);
     rs->services =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return rs;
 }
 
@@ -112,6 +112,18 @@
     return n;
 }
 
+void
+SpRoutes_SetService(SpRoutes *rs, const char *name, const SpServiceConf *c)
+{
+    g_hash_table_insert(rs->services, g_strdup(name), g_memdup2(c, sizeof *c));
+}
+
+const SpServiceConf *
+SpRoutes_Service(const SpRoutes *rs, const char *name)
+{
+    return g_hash_table_lookup(rs->services, name);
+}
+
 const char *
 SpPathRoute_Part(SpPathRoute *r)
 {
--- a/relay/adapter.h
+++ b/relay/adapter.h
@@ -76,6 +76,10 @@
     /* reports: returns 0 if the message names no instance to use */
     int (*read_report)(const SpMsg *m, SpReport *r);
     int (*is_ready_check)(const SpMsg *m);
+    /* status check of an instance: a whole request, and whether its answer
+       says that the instance takes work; id has SP_FLOW_NAME bytes */
+    void (*write_check)(GString *s, const char *host, const char *path);
+    int (*read_check)(const SpMsg *m, char *id);
     /* configuration: NULL and err if it cannot be used */
     SpRoutes *(*read_config)(const char *p, size_t n, GError **err);
     const char *config_key; /* of the record that holds it */
--- /dev/null
+++ b/relay/check.c
@@ -0,0 +1,63 @@
+/*
+ * Status checks of the own instance: a node that has just started asks at
+ * once, and need not wait for the next report to give it work. Reports go
+ * before checks; once one has come, no more are made.
+ */
+#include "relay/relay.h"
+
+#define EVERY_US (250 * SP_MS)
+#define TIMEOUT_US (500 * SP_MS)
+
+static void
+on_check(void *data, SpPoolEnd end, const SpMsg *m, const char *why)
+{
+    Relay *n = data;
+    char id[SP_FLOW_NAME];
+
+    n->check = NULL;
+    n->check_at = SpHttp_Now() + EVERY_US;
+    if (end == SP_POOL_OK && n->ad->read_check(m, id)) {
+        assume_instance(n, id);
+        return;
+    }
+    SpLog(SP_LOG_INFO, "check-failed", "why=%s status=%d", why,
+          m ? m->status : 0);
+}
+
+static void
+send_check(Relay *n, const char *path)
+{
+    GString *s = g_string_sized_new(128);
+    SpPoolSend o = {.done = on_check, .data = n};
+
+    n->ad->write_check(s, n->set.instance, path);
+    o.head = s->str;
+    o.head_len = s->len;
+    n->check = SpPool_Send(n->pool, &o);
+    n->check_at = SpHttp_Now() + TIMEOUT_US;
+    g_string_free(s, TRUE);
+}
+
+void
+tick_check(Relay *n, int64_t now)
+{
+    const SpServiceConf *c;
+
+    if (now < n->check_at) {
+        return;
+    }
+    if (n->check) {
+        SpExchange_Abort(n->check);
+        n->check = NULL;
+        n->check_at = now + EVERY_US;
+        SpLog(SP_LOG_INFO, "check-failed", "why=timeout status=0");
+        return;
+    }
+    if (n->inst.known || !n->routes) {
+        return;
+    }
+    c = SpRoutes_Service(n->routes, n->set.service);
+    if (c && c->check[0]) {
+        send_check(n, c->check);
+    }
+}
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -12,6 +12,8 @@
 #define CUT_SLACK_US (150 * SP_MS)
 /* A run has to be given at least this. */
 #define LEAST_MS 1
+/* What an instance is taken to run at a time until it or another tells. */
+#define ASSUMED_LIMIT 8.0
 /* A stopping node takes requests like any other for so long. */
 #define STOP_LAST_US (2000 * SP_MS)
 
@@ -391,7 +393,10 @@
     if (!i->known) {
         return 0;
     }
-    if (r->partial && !r->has_start) {
+    if (i->assumed && !r->partial) {
+        return 0;
+    }
+    if (r->partial && (!r->has_start || i->assumed)) {
         return strcmp(r->id, i->last.id) != 0;
     }
     if (r->start_ms != i->last.start_ms) {
@@ -413,6 +418,40 @@
           r->id, r->start_ms, r->slots, r->warmup_us / SP_MS);
 }
 
+/* What another instance of the service runs at a time. */
+static double
+usual_limit(Relay *n)
+{
+    const Service *s = service_of(n, n->set.service);
+    double limit = ASSUMED_LIMIT;
+    guint i;
+
+    for (i = 0; i < s->ups->len; i++) {
+        const SpUpstream *u = g_ptr_array_index(s->ups, i);
+        if (u != &n->self) {
+            limit = MAX(limit, u->limit);
+        }
+    }
+    return limit;
+}
+
+void
+assume_instance(Relay *n, const char *id)
+{
+    Instance *i = &n->inst;
+
+    if (i->known) {
+        return;
+    }
+    i->known = i->assumed = 1;
+    g_strlcpy(i->last.id, id, sizeof i->last.id);
+    i->seen = SpHttp_Now();
+    SpLimiter_Assume(&n->lim, usual_limit(n));
+    SpLog(SP_LOG_INFO, "instance-up", "instance=%s from=check limit=%.0f", id,
+          n->lim.limit);
+    tell_links(n);
+}
+
 static void
 take_report(Relay *n, const SpReport *r)
 {
@@ -426,7 +465,10 @@
               r->start_ms);
         return;
     }
-    if (!r->partial && (!i->known || r->start_ms != i->last.start_ms)) {
+    if (!r->partial && i->assumed && strcmp(r->id, i->last.id) == 0) {
+        i->assumed = 0; /* the lifetime that the check found */
+    }
+    else if (!r->partial && (!i->known || r->start_ms != i->last.start_ms)) {
         begin_lifetime(n, r);
     }
     if (!i->known) {
--- a/relay/link.c
+++ b/relay/link.c
@@ -332,6 +332,20 @@
     }
 }
 
+/* It has just connected: so can this node, at once. */
+static void
+hear_peer(Relay *n, const char *addr)
+{
+    Peer *p;
+
+    meet_peer(n, addr);
+    p = g_hash_table_lookup(n->links->peers, addr);
+    if (p && !p->wire) {
+        p->retry_at = 0;
+        p->seen_at = SpHttp_Now();
+    }
+}
+
 static int
 take_hello(Wire *w, FrameIn *f)
 {
@@ -349,7 +363,7 @@
     }
     if (!p) {
         send_hello(w);
-        meet_peer(w->n, addr);
+        hear_peer(w->n, addr);
     }
     else {
         g_strlcpy(p->name, w->name, sizeof p->name);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -4,6 +4,7 @@
  *
  *   entry.c     requests of callers: route, choose, send, retry, answer
  *   instance.c  the own instance: reports, queue, runs
+ *   check.c     status checks of the own instance
  *   link.c      connections to the other relays, and calls over them
  *   frame.c     messages on those connections
  *   store.c     configuration and the list of nodes in the platform's store
@@ -122,6 +123,7 @@
 typedef struct Instance {
     SpReport last;
     int known;
+    int assumed;      /* known by a status check alone, no report yet */
     int64_t seen;     /* last sign of life; 0 none */
     int64_t leave_at; /* when it said that it leaves; 0 it did not */
     int down;         /* it refused a connection */
@@ -144,7 +146,9 @@
     const SpAdapter *ad;
     uv_loop_t *loop;
     SpHttp *http;
-    SpPool *pool; /* to the own instance */
+    SpPool *pool;      /* to the own instance */
+    SpExchange *check; /* a status check under way */
+    int64_t check_at;  /* when it is given up, or the next one is due */
     SpRoutes *routes;
     Instance inst;
     SpLimiter lim;
@@ -190,10 +194,15 @@
    on to its end. */
 void drop_job(Job *j);
 void tick_instance(Relay *n, int64_t now);
+/* assume_instance: a status check says that it takes work. */
+void assume_instance(Relay *n, const char *id);
 Load own_load(const Relay *n, int64_t now);
 /* path_shares is what a route admits here and behind. */
 SpShares path_shares(const Relay *n, int64_t now, const char *route);
 
+/* check.c */
+void tick_check(Relay *n, int64_t now);
+
 /* entry.c */
 int listen_callers(Relay *n, GError **err);
 void end_send(Call *c, const Result *r);
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -256,6 +256,7 @@
     share_budget(n);
     tell_stop(n, now);
     tick_store(n, now);
+    tick_check(n, now);
     tick_instance(n, now);
     tick_calls(n, now);
     tick_links(n, now);
--- a/standin/spinst.c
+++ b/standin/spinst.c
@@ -9,9 +9,10 @@
  *   /hang      no answer              /other   421
  *   /early     before the body is read
  *
- * It reports itself every REPORT_MS to the address given, and prints a line
- * for each request that it runs. SIGTERM: it reports draining, goes on
- * serving, deregisters and ends.
+ * GET /health tells its id, or 503 while it drains. It reports itself every
+ * REPORT_MS (-r: other) to the address given, and prints a line for each
+ * request that it runs. SIGTERM: it reports draining, goes on serving,
+ * deregisters and ends.
  */
 #include <arpa/inet.h>
 #include <getopt.h>
@@ -35,6 +36,7 @@
 static struct {
     const char *addr, *id, *service, *zone, *control;
     int slots;
+    int report_ms;
     long long born;
     volatile sig_atomic_t draining;
     int seq;
@@ -184,6 +186,17 @@
 }
 
 /* Returns 0 to close the connection. */
+static void
+answer_health(int fd)
+{
+    char *s = g_strdup_printf("HTTP/1.1 %s\r\nContent-Length: 0\r\n"
+                              "Siskinpond-Instance-Id: %s\r\n\r\n",
+                              inst.draining ? "503 x" : "200 OK", inst.id);
+
+    send_text(fd, s);
+    g_free(s);
+}
+
 static int
 answer(int fd, const Request *r)
 {
@@ -191,6 +204,10 @@
     char *s;
     int go_on = 1;
 
+    if (strcmp(r->path, "/health") == 0) {
+        answer_health(fd);
+        return 1;
+    }
     if (r->expect[0] && strcmp(r->expect, inst.id) != 0) {
         send_text(fd, "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n");
         return 1;
@@ -308,10 +325,15 @@
 static void *
 report_all(void *arg)
 {
+    int slept;
+
     (void)arg;
     while (!inst.draining) {
         report("Heartbeat", "ready");
-        sleep_ms(REPORT_MS);
+        for (slept = 0; slept < inst.report_ms && !inst.draining;
+             slept += REPORT_MS) {
+            sleep_ms(REPORT_MS);
+        }
     }
     report("Heartbeat", "draining");
     sleep_ms(DRAIN_MS);
@@ -349,7 +371,8 @@
     pthread_t thread;
 
     inst.slots = 8;
-    while ((c = getopt(argc, argv, "l:i:s:z:c:n:b:")) != -1) {
+    inst.report_ms = REPORT_MS;
+    while ((c = getopt(argc, argv, "l:i:s:z:c:n:b:r:")) != -1) {
         switch (c) {
         case 'l':
             inst.addr = optarg;
@@ -369,6 +392,9 @@
         case 'n':
             inst.slots = (int)strtol(optarg, NULL, 10);
             break;
+        case 'r':
+            inst.report_ms = (int)strtol(optarg, NULL, 10);
+            break;
         case 'b':
             inst.born = strtoll(optarg, NULL, 10);
             break;
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -27,27 +27,29 @@
     run "relay-$1" "$OUT/sprelay" -c "$DIR/$1.json"
 }
 
-instance() { # NAME SERVICE ID START_MS
-    local ip
-    ip=$(ip_of "$1")
-    run "inst-$1" "$OUT/spinst" -l "$ip:7406" -i "$3" -s "$2" -z z1 \
-        -c "$ip:7403" -n 8 -b "$4"
+instance() { # NAME SERVICE ID START_MS [OPTIONS]
+    local ip name=$1 service=$2 id=$3 start=$4
+    shift 4
+    ip=$(ip_of "$name")
+    run "inst-$name" "$OUT/spinst" -l "$ip:7406" -i "$id" -s "$service" \
+        -z z1 -c "$ip:7403" -n 8 -b "$start" "$@"
 }
 
-node() { # NAME SERVICE: a relay and its instance
-    local ip
+node() { # NAME SERVICE [OPTIONS]: a relay and its instance
+    local ip name=$1 service=$2
+    shift 2
     N=$((N + 1))
     ip=$NET.$N
-    echo "$1 $ip" >>"$DIR/layout"
-    cat >"$DIR/$1.json" <<END
-{"name": "$1", "zone": "z1", "service": "$2", "interface": "platform",
+    echo "$name $ip" >>"$DIR/layout"
+    cat >"$DIR/$name.json" <<END
+{"name": "$name", "zone": "z1", "service": "$service", "interface": "platform",
  "instance": "$ip:7406", "outbound": "$ip:7401", "reports": "$ip:7403",
  "ready": "$ip:7404", "link": "$ip:7405", "metrics": "$ip:7407",
  "store": "$STORE", "report_s": 0.2, "drain_s": 2, "stop_s": 4,
  "retry_ratio": 0.2, "retry_slack": 400, "retry_window_s": 10}
 END
-    relay "$1"
-    instance "$1" "$2" "i-$1" 1000
+    relay "$name"
+    instance "$name" "$service" "i-$name" 1000 "$@"
 }
 
 raw() { # ADDR < BYTES: what is answered to these very bytes
@@ -85,7 +87,7 @@
     local version=$1 rows
     shift
     rows=$(IFS=,; echo "$*")
-    append keyed.op config "{\"version\":\"$version\",\"routes\":{\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\",\"max_attempts\"],\"rows\":[$rows]},\"services\":{\"columns\":[\"name\"],\"rows\":[]},\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,\"header_timeout_s\":1,\"idle_timeout_s\":5}}"
+    append keyed.op config "{\"version\":\"$version\",\"routes\":{\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\",\"max_attempts\"],\"rows\":[$rows]},\"services\":{\"columns\":[\"name\",\"health_path\"],\"rows\":[[\"front\",\"/health\"],[\"back\",\"/health\"],[\"rare\",\"/health\"]]},\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,\"header_timeout_s\":1,\"idle_timeout_s\":5}}"
 }
 
 store_mode() {
--- a/test/relay-life.t
+++ b/test/relay-life.t
@@ -41,6 +41,16 @@
 until_ok 10 served front-1 again GET /more/x && echo served
 store_mode ok
 
+echo "a restarted node asks its instance, which reports once a minute:"
+node rare-1 rare -r 60000
+publish 00000004 "$SAFE" "$MORE" "$(route rare /rare/ safe 2 1 rare)" \
+    >/dev/null
+until_ok 10 served front-1 rare GET /rare/x
+kill -9 "$(cat "$DIR/relay-rare-1.pid")"
+sleep 0.2
+relay rare-1
+until_ok 10 served front-1 rare GET /rare/x && echo served
+
 ip=$(ip_of back-1)
 echo "reports that name no instance to use:"
 report "$ip" /Instances.Heartbeat/i-x 'not json'
