--- a/test/relay-life.t
+++ b/test/relay-life.t
@@ -42,7 +42,7 @@
 store_mode ok
 
 echo "a restarted node asks its instance, which reports once a minute:"
-node rare-1 rare -r 60000
+REPORT_S=60 node rare-1 rare -r 60000
 publish 00000004 "$SAFE" "$MORE" "$(route rare /rare/ safe 2 1 rare)" \
     >/dev/null
 until_ok 10 served front-1 rare GET /rare/x
