--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,8 @@
 	@$(CC) $(LDFLAGS) -o $@ $^ -lpthread $(RELAYLIBS)
 
 $(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(filter-out test/fuzz.c,\
-		$(wildcard test/*.c))) $(PLATOBJ) $(OUT)/libsp.a
+		$(wildcard test/*.c))) $(PLATOBJ) $(OUT)/relay/frame.o \
+		$(OUT)/libsp.a
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ -lcunit -lhttp_parser $(LIBS)
 
--- a/relay/frame.c
+++ b/relay/frame.c
@@ -1,7 +1,12 @@
+/* Messages between relays. */
+#include <math.h>
 #include <string.h>
 
 #include "relay/frame.h"
 
+/* Reals travel as whole thousandths, which are short. */
+#define REAL_SCALE 1000.0
+
 #define LENGTH_BYTES 4
 
 static int
@@ -37,7 +42,7 @@
 void
 put_real(FrameOut *f, double v)
 {
-    msgpack_pack_double(&f->pk, v);
+    put_int(f, (int64_t)floor(v * REAL_SCALE + 0.5));
 }
 
 void
@@ -105,13 +110,7 @@
 double
 get_real(FrameIn *f)
 {
-    const msgpack_object *o = next_arg(f);
-
-    if (!o || o->type != MSGPACK_OBJECT_FLOAT64) {
-        f->bad = 1;
-        return 0;
-    }
-    return o->via.f64;
+    return (double)get_int(f) / REAL_SCALE;
 }
 
 const char *
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -16,6 +16,7 @@
                      addresses of the nodes known */
     FRAME_STATE,  /* takes, busy, limit, run time, demand by rank, room,
                      version of the configuration */
+    FRAME_ALIVE,  /* nothing: the sender still lives */
     FRAME_CALL,   /* seq, id, service, route, share, rank, begun, again,
                      idempotent, time left, head, body */
     FRAME_ANSWER, /* seq, kind, outcome, reached, below, shares of the path,
@@ -36,6 +37,7 @@
 void begin_frame(FrameOut *f, GByteArray *out, FrameType type, size_t nargs);
 void put_uint(FrameOut *f, uint64_t v);
 void put_int(FrameOut *f, int64_t v);
+/* put_real rounds to thousandths. */
 void put_real(FrameOut *f, double v);
 void put_str(FrameOut *f, const char *s);
 void put_bin(FrameOut *f, const void *p, size_t n);
--- a/relay/link.c
+++ b/relay/link.c
@@ -205,7 +205,7 @@
     put_uint(f, l.takes);
     put_uint(f, (uint64_t)l.busy);
     put_real(f, l.limit);
-    put_real(f, l.run_us);
+    put_uint(f, (uint64_t)l.run_us);
     for (i = 0; i < SP_MAX_RANKS; i++) {
         put_real(f, l.demand.offered[i]);
     }
@@ -215,11 +215,27 @@
 
 #define LOAD_ARGS (6 + SP_MAX_RANKS)
 
+static void
+send_bare(Wire *w, FrameType type)
+{
+    FrameOut f;
+
+    begin_frame(&f, w->out, type, 0);
+    end_frame(&f);
+}
+
+/* The side that opened a link takes the state of the other; what it says
+   itself goes over the link that the other has opened. */
 static void
 send_state(Wire *w)
 {
     FrameOut f;
 
+    if (w->peer) {
+        send_bare(w, FRAME_ALIVE);
+        w->told_at = SpHttp_Now();
+        return;
+    }
     begin_frame(&f, w->out, FRAME_STATE, LOAD_ARGS);
     put_load(&f, w->n);
     end_frame(&f);
@@ -250,15 +266,6 @@
     w->told_at = SpHttp_Now();
 }
 
-static void
-send_bare(Wire *w, FrameType type)
-{
-    FrameOut f;
-
-    begin_frame(&f, w->out, type, 0);
-    end_frame(&f);
-}
-
 static void
 note_version(Wire *w, uint64_t version)
 {
@@ -282,7 +289,7 @@
     l.takes = (SpTakes)get_uint(f);
     l.busy = (int)get_uint(f);
     l.limit = get_real(f);
-    l.run_us = get_real(f);
+    l.run_us = (double)get_uint(f);
     for (i = 0; i < SP_MAX_RANKS; i++) {
         l.demand.offered[i] = get_real(f);
     }
@@ -411,7 +418,7 @@
     put_bin(&f, r->body, r->body_len);
     put_uint(&f, (uint64_t)l.busy);
     put_real(&f, l.limit);
-    put_real(&f, l.run_us);
+    put_uint(&f, (uint64_t)l.run_us);
     end_frame(&f);
 }
 
@@ -490,7 +497,7 @@
     }
     w->peer->up.busy = (int)get_uint(f);
     w->peer->up.limit = get_real(f);
-    w->peer->up.run_us = get_real(f);
+    w->peer->up.run_us = (double)get_uint(f);
     w->peer->up.mine_told = w->peer->up.mine;
     c = g_hash_table_lookup(w->peer->calls, &seq);
     if (c) {
@@ -539,6 +546,8 @@
     case FRAME_STATE:
         take_load(w, f);
         return !f->bad;
+    case FRAME_ALIVE:
+        return 1;
     case FRAME_CALL:
         return take_call(w, f);
     case FRAME_ANSWER:
--- a/test/flow.c
+++ b/test/flow.c
@@ -4,6 +4,7 @@
 
 #include "flow/flow.h"
 #include "platform/platform.h"
+#include "relay/frame.h"
 #include "test/test.h"
 
 /*
@@ -404,6 +405,36 @@
     CU_ASSERT_FALSE(report("/elsewhere", "{}", &r));
 }
 
+static int
+take_reals(void *ctx, FrameType type, FrameIn *f)
+{
+    double *v = ctx;
+
+    CU_ASSERT_EQUAL(type, FRAME_STATE);
+    v[0] = get_real(f);
+    v[1] = get_real(f);
+    return !f->bad;
+}
+
+/* Reals between relays: short, to a thousandth, below zero too. */
+static void
+test_frame_reals(void)
+{
+    GByteArray *out = g_byte_array_new();
+    double v[2] = {0, 0};
+    FrameOut f;
+
+    begin_frame(&f, out, FRAME_STATE, 2);
+    put_real(&f, 25.9204);
+    put_real(&f, -3.5);
+    end_frame(&f);
+    CU_ASSERT(out->len <= 12);
+    CU_ASSERT(read_frames(out, take_reals, v));
+    CU_ASSERT_DOUBLE_EQUAL(v[0], 25.92, 1e-9);
+    CU_ASSERT_DOUBLE_EQUAL(v[1], -3.5, 1e-9);
+    g_byte_array_unref(out);
+}
+
 static void
 test_records(void)
 {
@@ -462,6 +493,7 @@
     {"flow", "chooser, fresh node", test_chooser_fresh},
     {"flow", "admission, late steps", test_admission_late_steps},
     {"flow", "retry budget", test_retry_budget},
+    {"relay", "reals in frames", test_frame_reals},
     {"platform", "config", test_config},
     {"platform", "bad config", test_bad_config},
     {"platform", "report", test_report},
