Two nodes of each zone follow the store; the others hear of it from them

Each node reads the configuration when it starts. Of those that can, the two with the first names of a zone follow it, by reads of 4 s; the others step in when they hear of fewer (links lost or silent, or the followers cannot reach the store). A new version is asked from one peer at a time.

--- a/relay/frame.h
+++ b/relay/frame.h
@@ -15,7 +15,7 @@
     FRAME_HELLO,  /* name, link address, zone, service, lifetime, the state,
                      addresses of the nodes known */
     FRAME_STATE,  /* takes, busy, limit, run time, demand by rank, room,
-                     version of the configuration */
+                     follows, version of the configuration */
     FRAME_ALIVE,  /* nothing: the sender still lives */
     FRAME_CALL,   /* seq, id, service, route, share, rank, begun, again,
                      idempotent, time left, head, body */
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -65,6 +65,7 @@
     l.demand = n->admission.own;
     l.limit = n->lim.limit;
     l.run_us = SpLimiter_Told(&n->lim, now);
+    l.follows = follows_store(n);
     return l;
 }
 
--- a/relay/link.c
+++ b/relay/link.c
@@ -19,6 +19,8 @@
 #define RETRY_MAX_US (2 * SP_SEC)
 /* An address that no node answered at for so long is forgotten. */
 #define FORGET_US (60 * SP_SEC)
+/* A configuration is asked from one peer at a time, for so long. */
+#define WANT_US (300 * SP_MS)
 #define BACKLOG 512
 /* A link that holds more than this takes no further call. */
 #define MAX_QUEUE_BYTES ((size_t)16 << 20)
@@ -43,18 +45,20 @@
     char zone[SP_FLOW_NAME];
     char service[SP_FLOW_NAME];
     uint64_t born;
+    int follows; /* 1: it follows the configuration, as last told */
     SpUpstream up;
     Wire *wire;
     GHashTable *calls; /* seq to Call */
     uint64_t seq;
     int64_t retry_at, backoff_us, seen_at;
-    uint64_t wanted; /* configuration asked for */
 };
 
 struct Links {
     uv_tcp_t tcp;
     GHashTable *peers; /* address to Peer; they are never freed */
     GPtrArray *wires;
+    uint64_t wanted; /* the configuration asked for last */
+    int64_t wanted_at;
 };
 
 static int take_frame(void *ctx, FrameType type, FrameIn *f);
@@ -210,10 +214,11 @@
         put_real(f, l.demand.offered[i]);
     }
     put_real(f, l.demand.room);
+    put_uint(f, (uint64_t)l.follows);
     put_uint(f, n->routes ? n->routes->version : 0);
 }
 
-#define LOAD_ARGS (6 + SP_MAX_RANKS)
+#define LOAD_ARGS (7 + SP_MAX_RANKS)
 
 static void
 send_bare(Wire *w, FrameType type)
@@ -270,12 +275,16 @@
 note_version(Wire *w, uint64_t version)
 {
     Relay *n = w->n;
+    Links *ls = n->links;
+    int64_t now = SpHttp_Now();
 
-    if (version > (n->routes ? n->routes->version : 0) && w->peer &&
-        version > w->peer->wanted) {
-        w->peer->wanted = version;
-        send_bare(w, FRAME_WANT);
+    if (version <= (n->routes ? n->routes->version : 0) || !w->peer ||
+        (version <= ls->wanted && now - ls->wanted_at < WANT_US)) {
+        return;
     }
+    ls->wanted = version;
+    ls->wanted_at = now;
+    send_bare(w, FRAME_WANT);
 }
 
 static void
@@ -294,10 +303,12 @@
         l.demand.offered[i] = get_real(f);
     }
     l.demand.room = get_real(f);
+    l.follows = get_uint(f) != 0;
     version = get_uint(f);
     if (f->bad || !w->peer) {
         return;
     }
+    w->peer->follows = l.follows;
     u = &w->peer->up;
     u->takes = l.takes;
     u->busy = l.busy;
@@ -381,7 +392,6 @@
         p->up.fails = 0;
         p->up.bad_until = 0;
         p->backoff_us = RETRY_MIN_US;
-        p->wanted = 0;
         place_peer(p, service);
         SpLog(SP_LOG_INFO, "link-up",
               "peer=%s addr=%s zone=%s service=%s lifetime=%" PRIx64, p->name,
@@ -755,6 +765,24 @@
     return up;
 }
 
+int
+count_followers(const Relay *n)
+{
+    int64_t now = SpHttp_Now();
+    GHashTableIter it;
+    gpointer v;
+    int count = 0;
+
+    g_hash_table_iter_init(&it, n->links->peers);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Peer *p = v;
+        count += p->wire && p->wire->up && p->follows && p->up.near &&
+                 now - p->wire->heard_at < SUSPECT_US &&
+                 strcmp(p->name, n->set.name) < 0;
+    }
+    return count;
+}
+
 static void
 on_link(uv_stream_t *st, int status)
 {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -75,6 +75,7 @@
     double limit;
     double run_us;
     SpDemand demand;
+    int follows; /* 1: it follows the configuration in the store */
 } Load;
 
 /* A request at the node beside its instance. */
@@ -219,6 +220,9 @@
 /* tell_links passes the own state to all at once. */
 void tell_links(Relay *n);
 guint count_links(const Relay *n);
+/* count_followers counts the nodes of the own zone that follow the
+   configuration in the store and whose names come before the own one. */
+int count_followers(const Relay *n);
 
 /* monitor.c */
 int listen_metrics(Relay *n, GError **err);
@@ -226,5 +230,7 @@
 /* store.c */
 int open_store(Relay *n, GError **err);
 void tick_store(Relay *n, int64_t now);
+/* follows_store: 1 while this node itself reads the configuration. */
+int follows_store(const Relay *n);
 
 #endif
--- a/relay/store.c
+++ b/relay/store.c
@@ -1,14 +1,21 @@
 /*
  * The platform's store: the configuration, and where the other nodes are.
  * Two tasks, each with one call under way at a time: one tells the own
- * address and lists the others, one follows the configuration.
+ * address and lists the others, one reads the configuration and, in a few
+ * nodes of each zone, follows it. Each node reads it once when it starts; one
+ * that hears of too few followers with names before its own follows itself.
  */
 #include <string.h>
 
 #include "relay/relay.h"
 
 #define CALL_US (2 * SP_SEC)
-#define LONG_READ_MS 8000
+#define LONG_READ_MS 4000
+/* Nodes of a zone that follow the configuration in the store; the others
+   hear of it from them. */
+#define FOLLOWERS 2
+/* A node that just started hears of the others first. */
+#define SETTLE_US (1 * SP_SEC)
 #define PAUSE_MIN_US (200 * SP_MS)
 #define PAUSE_MAX_US (2 * SP_SEC)
 /* A node that knows no other lists them again after this. */
@@ -16,7 +23,7 @@
 #define ANSWER_BYTES ((size_t)8 << 20)
 
 typedef enum { STEP_TELL, STEP_LIST, STEP_REST } NodesStep;
-typedef enum { STEP_NEWEST, STEP_FOLLOW } ConfigStep;
+typedef enum { STEP_NEWEST, STEP_FOLLOW, STEP_HEAR } ConfigStep;
 
 /* One call at a time, with its pause after a failure. */
 typedef struct Task {
@@ -202,6 +209,38 @@
  * Configuration.
  */
 
+int
+follows_store(const Relay *n)
+{
+    const Task *t = n->store ? &n->store->config : NULL;
+
+    return t && t->step == STEP_FOLLOW && !t->failing;
+}
+
+/* Leaves the reading to others, or takes it up again from the newest. */
+static void
+choose_follower(Task *t, int64_t now)
+{
+    const Relay *n = t->s->n;
+    int needed;
+
+    if (t->step == STEP_NEWEST || now - n->started < SETTLE_US) {
+        return;
+    }
+    needed = count_followers(n) < FOLLOWERS;
+    if (needed == (t->step == STEP_FOLLOW)) {
+        return;
+    }
+    if (t->x) {
+        SpExchange_Abort(t->x);
+        t->x = NULL;
+    }
+    t->step = needed ? STEP_NEWEST : STEP_HEAR;
+    t->after[0] = '\0';
+    SpLog(SP_LOG_INFO, needed ? "store-followed" : "store-left",
+          "version=%" PRIu64, n->routes ? n->routes->version : 0);
+}
+
 static void
 start_config(Task *t)
 {
@@ -212,7 +251,7 @@
         n->ad->write_newest(s, n->set.store, SP_STREAM_CONFIG, t->after);
         send_call(t, s, CALL_US);
     }
-    else {
+    else if (t->step == STEP_FOLLOW) {
         n->ad->write_read(s, n->set.store, SP_STREAM_CONFIG, t->offset,
                           LONG_READ_MS);
         send_call(t, s, LONG_READ_MS * SP_MS + CALL_US);
@@ -257,6 +296,7 @@
     if (ok && !t->after[0]) {
         t->offset = rs.end;
         t->step = STEP_FOLLOW;
+        t->next_at = MAX(t->next_at, t->s->n->started + SETTLE_US);
     }
     if (!ok) {
         /* the history is gone, or the answer was: start from the newest */
@@ -303,6 +343,7 @@
 void
 tick_store(Relay *n, int64_t now)
 {
+    choose_follower(&n->store->config, now);
     tick_task(&n->store->nodes, now);
     tick_task(&n->store->config, now);
     SpPool_Tick(n->store->pool, now);
--- a/test/relay-life.t
+++ b/test/relay-life.t
@@ -51,6 +51,22 @@
 relay rare-1
 until_ok 10 served front-1 rare GET /rare/x && echo served
 
+echo "two nodes follow the store; when they are gone, another takes over:"
+follows() { grep -o 'event=store-[a-z]*' "$DIR/relay-$1.out" | tail -1; }
+until_ok 5 grep -q event=store-left "$DIR/relay-front-1.out"
+echo "before: $(follows front-1)"
+for n in back-1 back-2; do
+    kill -9 "$(cat "$DIR/relay-$n.pid")"
+done
+until_ok 5 grep -q event=store-followed "$DIR/relay-front-1.out"
+echo "after: $(follows front-1)"
+publish 00000005 "$SAFE" "$MORE" "$(route new /new/ safe 2 1 front)" >/dev/null
+until_ok 5 served front-1 new GET /new/x && echo in force
+relay back-1
+relay back-2
+until_ok 10 served back-1 new GET /new/x
+until_ok 10 served back-2 warm GET /safe/warm
+
 ip=$(ip_of back-1)
 echo "reports that name no instance to use:"
 report "$ip" /Instances.Heartbeat/i-x 'not json'
