Two drawn from the best take the place of noise; load counts before the limit

Cause: on the grown deployment listings waited up to 1.2 s in front of single instances at a quiet time (p99 2.0 s), the busiest instance took 3.7 times the mean. The cost of an instance rose so late that a fast one was filled to 1.1 of its limit while slower ones were idle, and 76 nodes that know the same for 0.4 s chose alike. Ruled out: lack of room (a third was in use).

Load counts steeply from 0.6 of the limit on, and of the instances within 1.3 of the cheapest, equally near, two are drawn and the cheaper is taken.

Tests 'chooser, spread' and 'chooser, full' failed before. 'chooser, fresh node' now counts its sends, as a node does; its bound stays, and it still fails for a node that tells a run time it does not know.

--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -10,11 +10,13 @@
 #define KB 1024.0
 /* What is taken for a run where no instance has told any. */
 #define UNKNOWN_RUN_US (30.0 * SP_MS)
-/* Random part of a cost, so that many nodes do not choose alike. */
-#define NOISE 0.1
-/* Beyond this share of the limit, a queue is near: what a full one costs. */
-#define NEARLY_FULL 0.85
-#define FULL_US (40.0 * SP_MS)
+/* Load counts little up to this share of the limit, and much beyond. */
+#define LIGHT_SHARE 0.6
+#define LIGHT_WEIGHT 0.3
+#define FULL_WEIGHT 4.0
+/* Of the instances within this band of the cheapest, two are drawn and the
+   cheaper one is taken: many nodes that know the same do not choose alike. */
+#define BAND 1.3
 /* After so many failures in a row an instance is avoided for BAD_US. */
 #define MAX_FAILS 3
 #define BAD_US (1 * SP_SEC)
@@ -59,45 +61,93 @@
     return (int64_t)us;
 }
 
+/* In microseconds; over is the share of the limit that is in use. */
 static double
 cost_of(const SpUpstream *u, double usual, int64_t far_us)
 {
     double busy = u->busy + MAX(0, u->mine - u->mine_told) + 1;
-    double limit = MAX(1.0, u->limit);
+    double over = busy / MAX(1.0, u->limit);
     double run = u->run_us > 0 ? u->run_us : usual;
-    double cost, over = busy / limit;
+    double full = MAX(0, over - LIGHT_SHARE) / (1 - LIGHT_SHARE);
+    double cost = run * (1 + LIGHT_WEIGHT * over + FULL_WEIGHT * full * full);
 
-    cost = run * (1 + over * over * over);
-    if (over > NEARLY_FULL) {
-        cost += FULL_US * (over - NEARLY_FULL) / (1 - NEARLY_FULL);
-    }
     return u->near ? cost : cost + (double)far_us;
 }
 
+/* What one pick goes by. */
+typedef struct Field {
+    SpUpstream *const *list;
+    guint n;
+    const SpChoice *ch;
+    SpTakes takes;
+    int bad; /* 1: those that failed lately count too */
+    double usual;
+} Field;
+
+static int
+is_open(const Field *f, const SpUpstream *u)
+{
+    return u->takes == f->takes &&
+           !was_tried(u, f->ch->tried, f->ch->ntried) &&
+           (f->bad || u->bad_until <= f->ch->now);
+}
+
 static SpUpstream *
-pick(SpUpstream *const *list, guint n, const SpChoice *ch, SpTakes takes,
-     int bad)
+cheapest(const Field *f, double *low)
 {
     SpUpstream *best = NULL;
-    double low = 0, cost, usual = usual_run(list, n);
+    double cost;
     guint i;
 
-    for (i = 0; i < n; i++) {
-        SpUpstream *u = list[i];
-        if (u->takes != takes || was_tried(u, ch->tried, ch->ntried) ||
-            (!bad && u->bad_until > ch->now)) {
+    for (i = 0; i < f->n; i++) {
+        if (!is_open(f, f->list[i])) {
             continue;
         }
-        cost = cost_of(u, usual, ch->far_us) *
-               (1 + NOISE * SpRand_Unit(ch->rand));
-        if (!best || cost < low) {
-            best = u;
-            low = cost;
+        cost = cost_of(f->list[i], f->usual, f->ch->far_us);
+        if (!best || cost < *low) {
+            best = f->list[i];
+            *low = cost;
         }
     }
     return best;
 }
 
+/* Draws two of those that are as good as the cheapest, and as near. */
+static SpUpstream *
+draw(const Field *f, const SpUpstream *best, double low)
+{
+    SpUpstream *drawn[2] = {NULL, NULL};
+    double costs[2] = {0, 0}, cost;
+    guint i, at, seen = 0;
+
+    for (i = 0; i < f->n; i++) {
+        SpUpstream *u = f->list[i];
+        if (!is_open(f, u) || u->near != best->near) {
+            continue;
+        }
+        cost = cost_of(u, f->usual, f->ch->far_us);
+        if (cost > BAND * low) {
+            continue;
+        }
+        at = seen < 2 ? seen : (guint)(SpRand_Unit(f->ch->rand) * (seen + 1));
+        seen++;
+        if (at < 2) {
+            drawn[at] = u;
+            costs[at] = cost;
+        }
+    }
+    return drawn[1] && costs[1] < costs[0] ? drawn[1] : drawn[0];
+}
+
+static SpUpstream *
+pick(const Field *f)
+{
+    double low = 0;
+    const SpUpstream *best = cheapest(f, &low);
+
+    return best ? draw(f, best, low) : NULL;
+}
+
 SpUpstream *
 SpChooser_Pick(SpUpstream *const *list, guint n, const SpChoice *ch)
 {
@@ -105,11 +155,14 @@
         SpTakes takes;
         int bad;
     } order[] = {{SP_TAKES_ALL, 0}, {SP_TAKES_LAST, 0}, {SP_TAKES_ALL, 1}};
+    Field f = {list, n, ch, SP_TAKES_ALL, 0, usual_run(list, n)};
     SpUpstream *u = NULL;
     size_t i;
 
     for (i = 0; !u && i < G_N_ELEMENTS(order); i++) {
-        u = pick(list, n, ch, order[i].takes, order[i].bad);
+        f.takes = order[i].takes;
+        f.bad = order[i].bad;
+        u = pick(&f);
     }
     return u;
 }
--- a/test/flow.c
+++ b/test/flow.c
@@ -174,13 +174,59 @@
     CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &far);
 }
 
+/* Many nodes know the same and send at once: no instance is filled while
+   others have room. */
+static void
+test_chooser_spread(void)
+{
+    enum { COUNT = 4, NODES = 60, LIMIT = 40 };
+    SpUpstream up[COUNT], *list[COUNT], *u;
+    int taken[COUNT] = {0}, i, k;
+    uint64_t rand = 1;
+    SpChoice ch = {0, SpChooser_Far(0, 0), NULL, 0, &rand};
+
+    memset(up, 0, sizeof up);
+    for (i = 0; i < COUNT; i++) {
+        up[i].takes = SP_TAKES_ALL;
+        up[i].near = 1;
+        up[i].limit = LIMIT;
+        up[i].run_us = (double)(150 + 10 * i) * SP_MS;
+        list[i] = &up[i];
+    }
+    for (k = 0; k < NODES; k++) { /* each sees none busy */
+        u = SpChooser_Pick(list, COUNT, &ch);
+        taken[u - up]++;
+    }
+    for (i = 0; i < COUNT; i++) {
+        CU_ASSERT(taken[i] <= LIMIT);
+    }
+}
+
+/* A fast instance is not filled to its limit while a slower one has room. */
+static void
+test_chooser_full(void)
+{
+    SpUpstream fast = {.near = 1, .takes = SP_TAKES_ALL, .limit = 100};
+    SpUpstream slow = {.near = 1, .takes = SP_TAKES_ALL, .limit = 100};
+    SpUpstream *list[] = {&fast, &slow};
+    uint64_t seed = 1;
+    SpChoice ch = {0, SpChooser_Far(0, 0), NULL, 0, &seed};
+
+    fast.run_us = 180 * SP_MS;
+    slow.run_us = 420 * SP_MS;
+    fast.busy = 50;
+    CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &fast);
+    fast.busy = 95;
+    CU_ASSERT_PTR_EQUAL(SpChooser_Pick(list, 2, &ch), &slow);
+}
+
 /* A node that has just started knows no run time of its instance: it is not
    taken for a fast one. */
 static void
 test_chooser_fresh(void)
 {
     enum { COUNT = 4, SENDS = 400 };
-    SpUpstream up[COUNT], *list[COUNT];
+    SpUpstream up[COUNT], *list[COUNT], *u;
     uint64_t rand = 1;
     SpChoice ch = {0, SpChooser_Far(0, 0), NULL, 0, &rand};
     int i, fresh = 0;
@@ -195,7 +241,9 @@
         list[i] = &up[i];
     }
     for (i = 0; i < SENDS; i++) {
-        fresh += SpChooser_Pick(list, COUNT, &ch) == &up[0];
+        u = SpChooser_Pick(list, COUNT, &ch);
+        fresh += u == &up[0];
+        SpUpstream_Sent(u);
     }
     CU_ASSERT(fresh <= SENDS / COUNT * 3 / 2);
 }
@@ -491,6 +539,8 @@
     {"flow", "chooser", test_chooser},
     {"flow", "chooser, other zones", test_chooser_far},
     {"flow", "chooser, fresh node", test_chooser_fresh},
+    {"flow", "chooser, spread", test_chooser_spread},
+    {"flow", "chooser, full", test_chooser_full},
     {"flow", "admission, late steps", test_admission_late_steps},
     {"flow", "retry budget", test_retry_budget},
     {"relay", "reals in frames", test_frame_reals},
