That nobody takes work on a route is remembered for 0.2 s, not for 1 s

The first request that found nobody noted a share of zero for its route, and nothing corrects that before it is a second old, since nothing is sent. Ruled out: late links and configurations (up within 0.1 s).

It counts for 0.2 s now; what answers tell counts for a second as before. Unit test 'paths, nobody there' failed before (the function is new: the old bound was 1 s).

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -192,6 +192,8 @@
 /* SpPaths_Told notes what an answer on a route said of its path. */
 void SpPaths_Told(SpPaths *ps, int64_t now, const char *route,
                   const SpShares *s);
+/* SpPaths_None notes that no instance takes work on a route just now. */
+void SpPaths_None(SpPaths *ps, int64_t now, const char *route);
 /* SpPaths_Shares is what the path of a route admits, as last told. */
 SpShares SpPaths_Shares(SpPaths *ps, int64_t now, const char *route);
 /* SpPaths_Behind is the least of what the routes that it calls admit. */
--- a/flow/paths.c
+++ b/flow/paths.c
@@ -12,6 +12,8 @@
 #define CALLED_US (2 * SP_SEC)
 /* What was told is forgotten after this, so that new work finds out. */
 #define TOLD_US (1 * SP_SEC)
+/* That nobody takes work is seen anew with each request: it counts shorter. */
+#define NONE_US (200 * SP_MS)
 /* Weight of one answer. */
 #define TOLD_WEIGHT 0.2
 #define SIZE_WEIGHT 0.05
@@ -79,6 +81,16 @@
     p->told_at = now;
 }
 
+void
+SpPaths_None(SpPaths *ps, int64_t now, const char *route)
+{
+    static const SpShares nothing;
+    Path *p = path_of(ps, route);
+
+    p->told = nothing;
+    p->told_at = now - TOLD_US + NONE_US;
+}
+
 SpShares
 SpPaths_Shares(SpPaths *ps, int64_t now, const char *route)
 {
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -248,7 +248,6 @@
     double bytes = SpPaths_Bytes(c->n->paths, c->route->name);
     SpChoice ch = {now, SpChooser_Far(bytes, c->route->aim_us), c->tried, 0,
                    &c->n->rand};
-    static const SpShares nothing;
     SpUpstream *u;
 
     while (c->ntried < MAX_TRIES) {
@@ -262,7 +261,7 @@
                            &ch);
         if (!u) {
             if (!c->ntried) {
-                SpPaths_Told(c->n->paths, now, c->route->name, &nothing);
+                SpPaths_None(c->n->paths, now, c->route->name);
             }
             give_up(c, c->ntried ? c->why : SP_NO_TARGET);
             return;
--- a/test/flow.c
+++ b/test/flow.c
@@ -278,6 +278,18 @@
     CU_ASSERT(a.shares.of[2] >= 1);
 }
 
+/* After a restart an instance is there in an instant: that there was none may
+   not turn work away much longer. */
+static void
+test_paths_none(void)
+{
+    SpPaths *ps = SpPaths_New();
+
+    SpPaths_None(ps, 5 * SP_SEC, "r");
+    CU_ASSERT(SpPaths_Shares(ps, 5 * SP_SEC + 100 * SP_MS, "r").of[0] <= 0);
+    CU_ASSERT(SpPaths_Shares(ps, 5 * SP_SEC + 250 * SP_MS, "r").of[0] >= 1);
+}
+
 static void
 test_retry_budget(void)
 {
@@ -542,6 +554,7 @@
     {"flow", "chooser, spread", test_chooser_spread},
     {"flow", "chooser, full", test_chooser_full},
     {"flow", "admission, late steps", test_admission_late_steps},
+    {"flow", "paths, nobody there", test_paths_none},
     {"flow", "retry budget", test_retry_budget},
     {"relay", "reals in frames", test_frame_reals},
     {"platform", "config", test_config},
