Log levels and places of ranks are worked out in one place each

spnode, its settings and the logger each had the list of levels; sprelay read log_level and did not use it, so it is checked and used now. The metrics tell whether a node follows the store.

--- a/base/base.h
+++ b/base/base.h
@@ -95,6 +95,10 @@
  */
 typedef enum { SP_LOG_ERROR, SP_LOG_WARN, SP_LOG_INFO, SP_LOG_DEBUG } SpLevel;
 
+/* SpLevel_Parse reads "error", "warn", "info" or "debug"; returns 0 if s is
+   none of them. */
+int SpLevel_Parse(const char *s, SpLevel *level);
+
 /*
  * SpLog_Init names the program and the process; out may be NULL for standard
  * error. wall returns wall-clock microseconds for the at= field, or is NULL
--- a/base/log.c
+++ b/base/log.c
@@ -26,6 +26,20 @@
     uint64_t lost, told;
 } sink = {.fd = -1};
 
+int
+SpLevel_Parse(const char *s, SpLevel *level)
+{
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(level_names); i++) {
+        if (strcmp(level_names[i], s) == 0) {
+            *level = (SpLevel)i;
+            return 1;
+        }
+    }
+    return 0;
+}
+
 void
 SpLog_Init(const char *prog, const char *name, SpLevel max, FILE *out,
            int64_t (*wall)(void))
--- a/conf/settings.c
+++ b/conf/settings.c
@@ -98,7 +98,7 @@
                             s->admin};
     static const char *const names[] = {"inbound", "outbound", "mesh", "peer",
                                         "admin"};
-    static const char *const levels[] = {"error", "warn", "info", "debug"};
+    SpLevel level;
     size_t i, k;
 
     for (i = 0; i < G_N_ELEMENTS(listen); i++) {
@@ -123,12 +123,9 @@
         SpProblems_Add(ps, "peer_public",
                        "keys have 40 characters; make a pair by spctl keys");
     }
-    for (i = 0; i < G_N_ELEMENTS(levels); i++) {
-        if (strcmp(s->log_level, levels[i]) == 0) {
-            return;
-        }
+    if (!SpLevel_Parse(s->log_level, &level)) {
+        SpProblems_Add(ps, "log_level", "must be error, warn, info or debug");
     }
-    SpProblems_Add(ps, "log_level", "must be error, warn, info or debug");
 }
 
 int
--- a/flow/admission.c
+++ b/flow/admission.c
@@ -26,6 +26,12 @@
 
 static const SpShares all = {{1, 1, 1, 1}};
 
+int
+SpRank_Index(int rank)
+{
+    return CLAMP(rank, 0, SP_MAX_RANKS - 1);
+}
+
 SpShares
 SpShares_All(void)
 {
@@ -77,14 +83,13 @@
 void
 SpAdmission_Arrived(SpAdmission *a, int rank, double share)
 {
-    a->arrived[CLAMP(rank, 0, SP_MAX_RANKS - 1)] +=
-        1 / MAX(share, LEAST_SHARE);
+    a->arrived[SpRank_Index(rank)] += 1 / MAX(share, LEAST_SHARE);
 }
 
 void
 SpAdmission_Shed(SpAdmission *a, int rank, double share)
 {
-    rank = CLAMP(rank, 0, SP_MAX_RANKS - 1);
+    rank = SpRank_Index(rank);
     a->arrived[rank] -= 1 / MAX(share, LEAST_SHARE);
 }
 
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -141,6 +141,9 @@
 } SpShares;
 
 SpShares SpShares_All(void);
+/* SpRank_Index is the place of a rank in tables: higher ones count as the
+   last. */
+int SpRank_Index(int rank);
 /* SpShares_Min lowers each share of s to that of t. */
 void SpShares_Min(SpShares *s, const SpShares *t);
 /* Shares as one number, in 255ths, for messages between nodes. */
--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -77,7 +77,7 @@
 static int
 lane_of(const SpTurn *t)
 {
-    return 2 * CLAMP(t->rank, 0, SP_MAX_RANKS - 1) + (t->begun ? 0 : 1);
+    return 2 * SpRank_Index(t->rank) + (t->begun ? 0 : 1);
 }
 
 static void
--- a/flow/retries.c
+++ b/flow/retries.c
@@ -58,7 +58,7 @@
         first += b->first[i];
         again += b->again[i];
     }
-    part = parts[CLAMP(rank, 0, SP_MAX_RANKS - 1)];
+    part = parts[SpRank_Index(rank)];
     if (again + 1 > part * (b->o.ratio * first + b->o.slack)) {
         return 0;
     }
--- a/node/spnode.c
+++ b/node/spnode.c
@@ -168,20 +168,6 @@
     return 1;
 }
 
-static SpLevel
-level_of(const char *s)
-{
-    static const char *const names[] = {"error", "warn", "info", "debug"};
-    int i;
-
-    for (i = 0; i < 4; i++) {
-        if (strcmp(names[i], s) == 0) {
-            return (SpLevel)i;
-        }
-    }
-    return SP_LOG_INFO;
-}
-
 static int
 load(Node *n, const char *file)
 {
@@ -204,6 +190,7 @@
         {NULL, 0, NULL, 0}};
     static Node n;
     const char *file = NULL;
+    SpLevel level = SP_LOG_INFO;
     GError *err = NULL;
     int test = 0, c;
 
@@ -237,8 +224,8 @@
     }
     signal(SIGPIPE, SIG_IGN);
     setvbuf(stderr, NULL, _IOLBF, 0);
-    SpLog_Init("spnode", n.set.name, level_of(n.set.log_level), stderr,
-               SpClock_Wall);
+    SpLevel_Parse(n.set.log_level, &level); /* the settings were checked */
+    SpLog_Init("spnode", n.set.name, level, stderr, SpClock_Wall);
     n.loop = uv_default_loop();
     if (!start_node(&n, &err)) {
         fprintf(stderr, "spnode: %s\n", err->message);
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -129,7 +129,7 @@
 
     if (c->route) {
         s = SpPaths_Shares(c->n->paths, SpHttp_Now(), c->route->name);
-        missing -= s.of[CLAMP(c->rank, 0, SP_MAX_RANKS - 1)];
+        missing -= s.of[SpRank_Index(c->rank)];
     }
     return (int64_t)(RETURN_MIN_MS +
                      SpRand_Unit(&c->n->rand) *
@@ -408,7 +408,7 @@
         return 1;
     }
     s = SpPaths_Shares(n->paths, c->arrived, c->route->name);
-    c->share = s.of[CLAMP(c->rank, 0, SP_MAX_RANKS - 1)];
+    c->share = s.of[SpRank_Index(c->rank)];
     return SpRand_Unit(&n->rand) < c->share;
 }
 
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -23,6 +23,7 @@
     put(s, "instance_connections_total", (double)SpPool_Opened(n->pool));
     put(s, "config_version", n->routes ? (double)n->routes->version : 0);
     put(s, "nodes_linked", count_links(n));
+    put(s, "store_followed", follows_store(n));
     put(s, "client_connections", SpHttp_Open(n->http));
     put(s, "ready", is_relay_ready(n));
     put(s, "log_lines_lost_total", (double)SpLog_Lost());
--- a/relay/settings.c
+++ b/relay/settings.c
@@ -44,6 +44,7 @@
 {
     guint before = SpProblems_Count(ps);
     json_t *j = SpJson_LoadFile(file, ps);
+    SpLevel level;
 
     memset(s, 0, sizeof *s);
     g_strlcpy(s->log_level, "info", sizeof s->log_level);
@@ -57,6 +58,9 @@
         return 0;
     }
     SpFields_Read(fields, j, s, "", ps);
+    if (!SpLevel_Parse(s->log_level, &level)) {
+        SpProblems_Add(ps, "log_level", "must be error, warn, info or debug");
+    }
     json_decref(j);
     return SpProblems_Count(ps) == before;
 }
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -413,6 +413,7 @@
         {NULL, 0, NULL, 0}};
     static Relay n;
     const char *file = NULL;
+    SpLevel level = SP_LOG_INFO;
     GError *err = NULL;
     int test = 0, c;
 
@@ -446,7 +447,8 @@
         return 0;
     }
     signal(SIGPIPE, SIG_IGN);
-    SpLog_Init("sprelay", n.set.name, SP_LOG_INFO, stdout, wall_us);
+    SpLevel_Parse(n.set.log_level, &level); /* the settings were checked */
+    SpLog_Init("sprelay", n.set.name, level, stdout, wall_us);
     SpLog_Bound(STDOUT_FILENO, LOG_BYTES, LOG_PER_S);
     n.loop = uv_default_loop();
     if (!start_relay(&n, &err)) {
