An instance that gets nothing is tried every 4 s

Ruled out: links and reports (both there within 0.1 s).

Each node sends one of its requests to an instance of its own zone that has room and got none from it for 4 s. Test 'chooser, trickle' failed before.

--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -14,6 +14,9 @@
 #define LIGHT_SHARE 0.6
 #define LIGHT_WEIGHT 0.3
 #define FULL_WEIGHT 4.0
+/* An instance of the own zone that has room gets a request at least this
+   often: what is known of one that gets none grows old. */
+#define TRICKLE_US (4 * SP_SEC)
 /* Of the instances within this band of the cheapest, two are drawn and the
    cheaper one is taken: many nodes that know the same do not choose alike. */
 #define BAND 1.3
@@ -61,12 +64,20 @@
     return (int64_t)us;
 }
 
-/* In microseconds; over is the share of the limit that is in use. */
+/* The share of the limit that is in use with one more request. */
 static double
-cost_of(const SpUpstream *u, double usual, int64_t far_us)
+use_of(const SpUpstream *u)
 {
     double busy = u->busy + MAX(0, u->mine - u->mine_told) + 1;
-    double over = busy / MAX(1.0, u->limit);
+
+    return busy / MAX(1.0, u->limit);
+}
+
+/* In microseconds. */
+static double
+cost_of(const SpUpstream *u, double usual, int64_t far_us)
+{
+    double over = use_of(u);
     double run = u->run_us > 0 ? u->run_us : usual;
     double full = MAX(0, over - LIGHT_SHARE) / (1 - LIGHT_SHARE);
     double cost = run * (1 + LIGHT_WEIGHT * over + FULL_WEIGHT * full * full);
@@ -139,6 +150,22 @@
     return drawn[1] && costs[1] < costs[0] ? drawn[1] : drawn[0];
 }
 
+/* One that has not been tried for long; NULL if there is none. */
+static SpUpstream *
+forgotten(const Field *f)
+{
+    guint i;
+
+    for (i = 0; i < f->n; i++) {
+        SpUpstream *u = f->list[i];
+        if (u->near && f->ch->now - u->sent_at > TRICKLE_US && is_open(f, u) &&
+            use_of(u) < LIGHT_SHARE) {
+            return u;
+        }
+    }
+    return NULL;
+}
+
 static SpUpstream *
 pick(const Field *f)
 {
@@ -156,7 +183,7 @@
         int bad;
     } order[] = {{SP_TAKES_ALL, 0}, {SP_TAKES_LAST, 0}, {SP_TAKES_ALL, 1}};
     Field f = {list, n, ch, SP_TAKES_ALL, 0, usual_run(list, n)};
-    SpUpstream *u = NULL;
+    SpUpstream *u = ch->ntried ? NULL : forgotten(&f);
     size_t i;
 
     for (i = 0; !u && i < G_N_ELEMENTS(order); i++) {
@@ -168,8 +195,9 @@
 }
 
 void
-SpUpstream_Sent(SpUpstream *u)
+SpUpstream_Sent(SpUpstream *u, int64_t now)
 {
+    u->sent_at = now;
     u->mine++;
 }
 
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -225,6 +225,7 @@
     int mine;        /* sent from here and not answered */
     int mine_told;   /* mine when busy was told */
     double run_us;   /* smoothed, as last told; 0: not known yet */
+    int64_t sent_at; /* of the last request from here */
     int fails;       /* in a row */
     int64_t bad_until;
     void *user;
@@ -245,7 +246,7 @@
 /* SpChooser_Far is what another zone costs a request of so many bytes, whose
    answer is worth most within aim_us (0: no such time). */
 int64_t SpChooser_Far(double bytes, int64_t aim_us);
-void SpUpstream_Sent(SpUpstream *u);
+void SpUpstream_Sent(SpUpstream *u, int64_t now);
 /* SpUpstream_Ended: ok 0 counts a failure against it. */
 void SpUpstream_Ended(SpUpstream *u, int64_t now, int ok);
 
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -199,7 +199,7 @@
     Job *j;
 
     c->at = u;
-    SpUpstream_Sent(u);
+    SpUpstream_Sent(u, SpHttp_Now());
     if (u == &n->self) {
         o.head = g_string_new_len(c->head->str, (gssize)c->head->len);
         /* a body in the request is valid until the answer; a run that may
--- a/test/flow.c
+++ b/test/flow.c
@@ -202,6 +202,35 @@
     }
 }
 
+/* A slow instance of the own zone is tried now and then: it may have been
+   slow because it was cold. One of another zone is not. */
+static void
+test_chooser_trickle(void)
+{
+    enum { SENDS = 1000 };
+    const int64_t every = 10 * SP_MS;
+    SpUpstream fast = {.near = 1, .takes = SP_TAKES_ALL, .limit = 100};
+    SpUpstream slow = {.near = 1, .takes = SP_TAKES_ALL, .limit = 100};
+    SpUpstream far = {.takes = SP_TAKES_ALL, .limit = 100};
+    SpUpstream *list[] = {&fast, &slow, &far}, *u;
+    uint64_t seed = 1;
+    SpChoice ch = {0, SpChooser_Far(0, 0), NULL, 0, &seed};
+    int i, slows = 0, fars = 0;
+
+    fast.run_us = 100 * SP_MS;
+    slow.run_us = far.run_us = 400 * SP_MS;
+    for (i = 0; i < SENDS; i++) {
+        ch.now += every;
+        u = SpChooser_Pick(list, 3, &ch);
+        SpUpstream_Sent(u, ch.now);
+        SpUpstream_Ended(u, ch.now, 1);
+        slows += u == &slow;
+        fars += u == &far;
+    }
+    CU_ASSERT(slows >= 2 && slows <= 4); /* in 10 s */
+    CU_ASSERT_EQUAL(fars, 0);
+}
+
 /* A fast instance is not filled to its limit while a slower one has room. */
 static void
 test_chooser_full(void)
@@ -243,7 +272,7 @@
     for (i = 0; i < SENDS; i++) {
         u = SpChooser_Pick(list, COUNT, &ch);
         fresh += u == &up[0];
-        SpUpstream_Sent(u);
+        SpUpstream_Sent(u, 0);
     }
     CU_ASSERT(fresh <= SENDS / COUNT * 3 / 2);
 }
@@ -553,6 +582,7 @@
     {"flow", "chooser, fresh node", test_chooser_fresh},
     {"flow", "chooser, spread", test_chooser_spread},
     {"flow", "chooser, full", test_chooser_full},
+    {"flow", "chooser, trickle", test_chooser_trickle},
     {"flow", "admission, late steps", test_admission_late_steps},
     {"flow", "paths, nobody there", test_paths_none},
     {"flow", "retry budget", test_retry_budget},
--- a/test/load.c
+++ b/test/load.c
@@ -105,7 +105,7 @@
     r->turn.rank = r->rank;
     r->turn.begun = r->runs > 0 || r->calls_left > 1;
     r->turn.deadline = r->deadline;
-    SpUpstream_Sent(u);
+    SpUpstream_Sent(u, w.now);
     SpAdmission_Arrived(&r->at->adm, r->rank, r->share);
     switch (SpLimiter_Offer(&r->at->lim, w.now, &r->turn)) {
     case SP_TURN_RUN:
