spctl trace and explain: from a request's id to its cause, by log files

Operators had to search the logs of all nodes by hand. trace prints the lines of a request and of the calls of its run in their order; explain puts each into a sentence from a table of meanings and shows what the nodes involved came to believe in the 2 s before, or says that nothing is known and how many lines were left out.

Its first walk asked for kind=late, which came only while the node took a run of 300 ms for one of 1 ms; beside load none came and the walk failed. It now teaches the node the run time first and asks for kind=shed: refused at once, told in the same three lines.

--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -11,7 +11,14 @@
 const char *ctl_body(void);
 
 /* review.c */
+/* ctl_pair takes the value of a key out of a line of pairs; quoted values
+   keep their quotes. Returns 0 if the line has no such key. */
+int ctl_pair(const char *line, const char *key, char *to, size_t n);
 int run_timeline(int argc, char **argv);
 int run_review(int argc, char **argv);
 
+/* trace.c */
+int run_trace(int argc, char **argv);
+int run_explain(int argc, char **argv);
+
 #endif
--- a/cmd/review.c
+++ b/cmd/review.c
@@ -27,9 +27,8 @@
 static GArray *events;     /* of Event */
 static GPtrArray *unknown; /* sentences on what could not be learnt */
 
-/* The value of a key in a line of pairs; quoted values keep their quotes. */
-static int
-pair(const char *line, const char *key, char *to, size_t n)
+int
+ctl_pair(const char *line, const char *key, char *to, size_t n)
 {
     size_t k = strlen(key), i = 0;
     const char *p = line;
@@ -67,12 +66,12 @@
     const char *p;
     Event e = {0};
 
-    if (!pair(line, "hlc", hlc, sizeof hlc) ||
-        !pair(line, "event", e.kind, sizeof e.kind)) {
+    if (!ctl_pair(line, "hlc", hlc, sizeof hlc) ||
+        !ctl_pair(line, "event", e.kind, sizeof e.kind)) {
         return;
     }
-    if (!pair(line, "node", e.node, sizeof e.node) &&
-        !pair(line, "name", e.node, sizeof e.node)) {
+    if (!ctl_pair(line, "node", e.node, sizeof e.node) &&
+        !ctl_pair(line, "name", e.node, sizeof e.node)) {
         g_strlcpy(e.node, fallback_node, sizeof e.node);
     }
     dot = strchr(hlc, '.');
@@ -450,7 +449,8 @@
     for (i = events->len; i > 0; i--) {
         const Event *e = &g_array_index(events, Event, i - 1);
         if (strcmp(e->kind, "config") == 0 && strcmp(e->node, node) == 0 &&
-            pair(e->text, "version", v, sizeof v) && strcmp(v, version) == 0) {
+            ctl_pair(e->text, "version", v, sizeof v) &&
+            strcmp(v, version) == 0) {
             return e;
         }
     }
@@ -464,11 +464,11 @@
     const Event *e;
 
     printf("%s", line);
-    if (!pair(line, "kind", kind, sizeof kind) ||
-        !pair(line, "rank", rank, sizeof rank) ||
-        !pair(line, "level", level, sizeof level) ||
-        !pair(line, "version", version, sizeof version) ||
-        !pair(line, "node", node, sizeof node)) {
+    if (!ctl_pair(line, "kind", kind, sizeof kind) ||
+        !ctl_pair(line, "rank", rank, sizeof rank) ||
+        !ctl_pair(line, "level", level, sizeof level) ||
+        !ctl_pair(line, "version", version, sizeof version) ||
+        !ctl_pair(line, "node", node, sizeof node)) {
         return;
     }
     printf("  %s: %s\n", kind, SpKind_Info(SpKind_ByName(kind))->text);
--- a/cmd/spctl.c
+++ b/cmd/spctl.c
@@ -326,6 +326,9 @@
      run_timeline},
     {"review", "ADDR..", "what was in force, what was refused and why",
      run_review},
+    {"trace", "ID FILE..", "print what log files say of a request", run_trace},
+    {"explain", "ID FILE..", "say what became of a request, and why",
+     run_explain},
     {"keys", "", "make a pair of keys for the nodes' settings", run_keys},
     {"drain", "", "let a node's instance leave", run_drain},
     {"undrain", "", "let it take work again", run_undrain},
@@ -345,7 +348,7 @@
                "  -h, --help           print this\n"
                "  -V, --version        print the version\n");
     for (i = 0; i < G_N_ELEMENTS(commands); i++) {
-        fprintf(f, "  %-8s %-6s %s\n", commands[i].name, commands[i].args,
+        fprintf(f, "  %-8s %-9s %s\n", commands[i].name, commands[i].args,
                 commands[i].help);
     }
     return status;
--- /dev/null
+++ b/cmd/trace.c
@@ -0,0 +1,348 @@
+/*
+ * From the id of a request to its cause, by log files alone: trace prints the
+ * lines of all processes on it in their order, explain says in sentences what
+ * they mean.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/base.h"
+#include "cmd/ctl.h"
+
+#define VALUE_BYTES 256
+/* What nodes believed is shown from so long before the request. */
+#define AROUND_S 2.0
+
+typedef struct Line {
+    double at; /* wall clock, seconds */
+    char *text;
+} Line;
+
+typedef struct Logs {
+    const char *id;
+    GArray *own; /* of Line: on the request and the calls of its run */
+    GArray
+        *beliefs; /* of Line: what nodes believed of themselves and others */
+    double left_out; /* lines that nodes did not log */
+    size_t lines;
+} Logs;
+
+/* Events that change what a node believes. */
+static const char *const belief_events[] = {
+    "link-lost",       "instance-down", "instance-leaving", "instance-up",
+    "config",          "store-lost",    "store-back",       "stood-still",
+    "config-unusable", "stopping",      "started",          NULL};
+
+/*
+ * What an event on a request means. The first that fits counts; $key stands
+ * for the value of a key of the line.
+ */
+typedef struct Meaning {
+    const char *event;
+    const char *key, *value; /* NULL: fits any */
+    const char *text;
+} Meaning;
+
+static const Meaning meanings[] = {
+    {"call-refused", "kind", "no-config",
+     "$name knew no configuration yet: not run"},
+    {"call-refused", "kind", "no-route",
+     "no route of configuration $config fits it: not run"},
+    {"call-refused", "kind", "bad-request",
+     "it names no host or no usable id: not run"},
+    {"call-refused", "kind", "leaving",
+     "$name was about to stop and took nothing new: not run"},
+    {"call-refused", "tried", "0",
+     "$name turned it away unsent ($kind): of rank $rank, what lies behind "
+     "route $route took a share of $share: not run"},
+    {"call-refused", "status", "503",
+     "$name gave up after $ms ms, instances tried: $tried ($kind): not run"},
+    {"call-refused", "status", "504",
+     "$name had no answer by its deadline, after $ms ms: it may have run"},
+    {"call-refused", "status", "502",
+     "$name lost the answer after $ms ms ($kind): it may have run"},
+    {"call-refused", NULL, NULL, "$name answered $status ($kind)"},
+    {"call-failed", NULL, NULL,
+     "the instance at $at answered $status after $ms ms: it ran"},
+    {"caller-left", NULL, NULL, "its caller left after $ms ms"},
+    {"send-ended", "outcome", "unknown",
+     "what $at did with it is not known ($kind)"},
+    {"send-ended", "outcome", "not-run", "$at did not run it ($kind)"},
+    {"send-ended", NULL, NULL, "at $at it ended with status $status ($kind)"},
+    {"run-refused", "kind", "shed",
+     "$name had no room: $running ran and $queued waited at a limit of "
+     "$limit; it would have waited $wait_ms ms with $left_ms ms left"},
+    {"run-refused", "kind", "late",
+     "it waited at $name until $left_ms ms were left; $running ran and "
+     "$queued waited at a limit of $limit"},
+    {"run-refused", "kind", "no-target",
+     "the instance beside $name took no work: down, silent or not known yet"},
+    {"run-refused", "kind", "leaving",
+     "the instance beside $name was leaving"},
+    {"run-refused", NULL, NULL, "$name did not run it ($kind)"},
+    {"run-lost", NULL, NULL,
+     "instance $instance broke off after $ms ms ($why), before a whole "
+     "answer"},
+    {"run-cut", NULL, NULL,
+     "instance $instance gave no answer by the deadline; cut after $ms ms"},
+    {"run-dropped", NULL, NULL,
+     "nobody waited for it any more: taken back from $instance after $ms ms"},
+};
+
+/* The value of a key: of the event's own first, which may repeat one of those
+   that begin each line. Returns 0 if there is none. */
+static int
+value_of(const char *text, const char *key, char *to, size_t n)
+{
+    const char *own = strstr(text, " event=");
+
+    return (own && ctl_pair(own + 1, key, to, n)) ||
+           ctl_pair(text, key, to, n);
+}
+
+static gint
+by_time(gconstpointer a, gconstpointer b)
+{
+    const Line *x = a, *y = b;
+
+    return x->at < y->at ? -1 : x->at > y->at;
+}
+
+/* 1 for the request's id and those of calls, which begin with it. */
+static int
+is_of(const char *id, const char *of)
+{
+    size_t n = strlen(of);
+
+    return strncmp(id, of, n) == 0 && !g_ascii_isalnum(id[n]);
+}
+
+static void
+take_line(Logs *l, const char *text)
+{
+    char value[VALUE_BYTES];
+    Line line;
+
+    l->lines++;
+    if (!ctl_pair(text, "at", value, sizeof value)) {
+        return; /* not a line of ours */
+    }
+    line.at = g_ascii_strtod(value, NULL);
+    if (ctl_pair(text, "id", value, sizeof value)) {
+        if (is_of(value, l->id)) {
+            line.text = g_strdup(text);
+            g_array_append_val(l->own, line);
+        }
+        return;
+    }
+    if (!ctl_pair(text, "event", value, sizeof value)) {
+        return;
+    }
+    if (g_strv_contains(belief_events, value)) {
+        line.text = g_strdup(text);
+        g_array_append_val(l->beliefs, line);
+    }
+    else if (strcmp(value, "log-lines-left-out") == 0 &&
+             ctl_pair(text, "lines", value, sizeof value)) {
+        l->left_out += g_ascii_strtod(value, NULL);
+    }
+}
+
+static int
+read_log(Logs *l, const char *file)
+{
+    FILE *f = strcmp(file, "-") == 0 ? stdin : fopen(file, "r");
+    char *text = NULL;
+    size_t room = 0;
+    ssize_t n;
+
+    if (!f) {
+        fprintf(stderr, "spctl: %s: %s\n", file, g_strerror(errno));
+        return 0;
+    }
+    while ((n = getline(&text, &room, f)) > 0) {
+        if (text[n - 1] == '\n') {
+            text[n - 1] = '\0';
+        }
+        take_line(l, text);
+    }
+    free(text);
+    if (f != stdin) {
+        fclose(f);
+    }
+    return 1;
+}
+
+/* Reads the files; returns 0 if one cannot be read or none was named. */
+static int
+read_logs(Logs *l, int argc, char **argv)
+{
+    int i;
+
+    if (argc < 3) {
+        fprintf(stderr, "spctl: usage: spctl %s ID FILE..\n", argv[0]);
+        return 0;
+    }
+    l->id = argv[1];
+    l->own = g_array_new(FALSE, FALSE, sizeof(Line));
+    l->beliefs = g_array_new(FALSE, FALSE, sizeof(Line));
+    for (i = 2; i < argc; i++) {
+        if (!read_log(l, argv[i])) {
+            return 0;
+        }
+    }
+    g_array_sort(l->own, by_time);
+    g_array_sort(l->beliefs, by_time);
+    return 1;
+}
+
+static int
+say_nothing(const Logs *l)
+{
+    printf("%s: nothing was logged of it in %zu lines: it was answered well, "
+           "or never arrived",
+           l->id, l->lines);
+    if (l->left_out > 0) {
+        printf(", or is among the %.0f lines that were left out", l->left_out);
+    }
+    printf("\n");
+    return 1;
+}
+
+int
+run_trace(int argc, char **argv)
+{
+    Logs l = {0};
+    guint i;
+
+    if (!read_logs(&l, argc, argv)) {
+        return 2;
+    }
+    for (i = 0; i < l.own->len; i++) {
+        printf("%s\n", g_array_index(l.own, Line, i).text);
+    }
+    return l.own->len ? 0 : say_nothing(&l);
+}
+
+static int
+fits(const Meaning *m, const char *text)
+{
+    char value[VALUE_BYTES];
+
+    return ctl_pair(text, "event", value, sizeof value) &&
+           strcmp(value, m->event) == 0 &&
+           (!m->key || (value_of(text, m->key, value, sizeof value) &&
+                        strcmp(value, m->value) == 0));
+}
+
+/* Prints a meaning with the values of its line. */
+static void
+say(const char *meaning, const char *text)
+{
+    char key[32], value[VALUE_BYTES];
+    size_t n;
+
+    for (; *meaning; meaning++) {
+        if (*meaning != '$') {
+            putchar(*meaning);
+            continue;
+        }
+        n = strspn(meaning + 1, "abcdefghijklmnopqrstuvwxyz_");
+        g_strlcpy(key, meaning + 1, MIN(n + 1, sizeof key));
+        printf("%s", value_of(text, key, value, sizeof value) ? value : "?");
+        meaning += n;
+    }
+    putchar('\n');
+}
+
+static void
+say_line(const Logs *l, const Line *line)
+{
+    char id[VALUE_BYTES];
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(meanings); i++) {
+        if (fits(&meanings[i], line->text)) {
+            break;
+        }
+    }
+    if (i == G_N_ELEMENTS(meanings)) {
+        return;
+    }
+    ctl_pair(line->text, "id", id, sizeof id);
+    printf("%+8.3f s  ", line->at - g_array_index(l->own, Line, 0).at);
+    if (strcmp(id, l->id) != 0) {
+        printf("its call %s: ", id);
+    }
+    say(meanings[i].text, line->text);
+}
+
+/* 1 if the line comes from a node that the request was at, or names one. */
+static int
+concerns(const Logs *l, const Line *belief)
+{
+    static const char *const keys[] = {"name", "at"};
+    char node[VALUE_BYTES], other[VALUE_BYTES], peer[VALUE_BYTES];
+    size_t k;
+    guint i;
+
+    ctl_pair(belief->text, "name", other, sizeof other);
+    if (!ctl_pair(belief->text, "peer", peer, sizeof peer)) {
+        peer[0] = '\0';
+    }
+    for (i = 0; i < l->own->len; i++) {
+        const char *text = g_array_index(l->own, Line, i).text;
+        for (k = 0; k < G_N_ELEMENTS(keys); k++) {
+            if (value_of(text, keys[k], node, sizeof node) &&
+                (strcmp(node, other) == 0 || strcmp(node, peer) == 0)) {
+                return 1;
+            }
+        }
+    }
+    return 0;
+}
+
+static void
+say_beliefs(const Logs *l)
+{
+    double from = g_array_index(l->own, Line, 0).at - AROUND_S;
+    double to = g_array_index(l->own, Line, l->own->len - 1).at;
+    int said = 0;
+    guint i;
+
+    for (i = 0; i < l->beliefs->len; i++) {
+        const Line *b = &g_array_index(l->beliefs, Line, i);
+        if (b->at < from || b->at > to || !concerns(l, b)) {
+            continue;
+        }
+        if (!said++) {
+            printf("what its nodes came to believe meanwhile:\n");
+        }
+        printf("%+8.3f s  %s\n", b->at - (from + AROUND_S),
+               strstr(b->text, "name="));
+    }
+}
+
+int
+run_explain(int argc, char **argv)
+{
+    Logs l = {0};
+    guint i;
+
+    if (!read_logs(&l, argc, argv)) {
+        return 2;
+    }
+    if (!l.own->len) {
+        return say_nothing(&l);
+    }
+    printf("%s:\n", l.id);
+    for (i = 0; i < l.own->len; i++) {
+        say_line(&l, &g_array_index(l.own, Line, i));
+    }
+    say_beliefs(&l);
+    if (l.left_out > 0) {
+        printf("%.0f lines were left out of these logs\n", l.left_out);
+    }
+    return 0;
+}
--- a/test/walks.t
+++ b/test/walks.t
@@ -14,17 +14,34 @@
         sed -E 's/^at=[^ ]* level=[^ ]* prog=[^ ]* //; s/(ms|left_ms|wait_ms|queued|running|silent_ms)=-?[0-9]+/\1=N/g; s/share=[0-9.]+/share=S/'
 }
 
+explain() { # ID: the same in sentences, without what varies
+    "$OUT/spctl" explain "$1" "$DIR"/relay-*.out |
+        sed -nE "s/^$1:/ID:/; s/[0-9]+ (ms|ran|waited)/N \\1/g; s/tried: [0-9]+/tried: N/; s/share of [0-9.]+/share of S/; s/^ +[+-][0-9.]+ s/-/; /name=|came to believe/!p"
+}
+
 echo "1. refused under load"
-for i in $(seq 60); do code front-1 "load-$i" GET /safe/slow-300 >"$DIR/load-$i" & jobs+=" $!"; done
-wait $jobs
-id=$(cat "$DIR"/relay-front-1.out | sed -n 's/.*event=call-refused id=\(load-[0-9]*\) .*kind=late.*tried=1.*/\1/p' | head -1)
+crowd() { # NAME N: so many slow requests at once
+    local i jobs=""
+    for i in $(seq "$2"); do
+        code front-1 "$1-$i" GET /safe/slow-300 >"$DIR/$1-$i" &
+        jobs+=" $!"
+    done
+    wait $jobs
+}
+crowd teach 7 # the node learns how long a run takes
+crowd teach 7
+crowd load 120
+id=$(sed -n 's/.*event=call-refused id=\(load-[0-9]*\) .*kind=shed.*tried=1.*/\1/p' \
+    "$DIR/relay-front-1.out" | head -1)
 echo "the caller got: $(cat "$DIR/$id")"
 trace "$id" | sed "s/$id/ID/"
+explain "$id"
 
 echo "2. timed out, its instance hangs"
 echo "the caller got: $(code front-1 hung GET /short/hang)"
 sleep 0.3
 trace hung
+explain hung
 
 echo "3. lost in a kill, outcome unknown"
 (code front-1 lost POST /once/slow-1000 >"$DIR/lost") &
@@ -35,4 +52,12 @@
 echo "the caller got: $(cat "$DIR/lost")"
 sleep 0.2
 trace lost
+explain lost
+"$OUT/spctl" explain lost "$DIR"/relay-*.out |
+    grep -q 'event=link-lost peer=back-1' && echo "the lost link is shown"
 cat "$DIR"/relay-front-1.out | grep -c 'event=link-lost peer=back-1'
+echo "4. spctl trace, bad input"
+"$OUT/spctl" trace lost "$DIR"/relay-*.out | wc -l
+"$OUT/spctl" explain never "$DIR"/relay-*.out | sed -E 's/[0-9]+ lines/N lines/'
+"$OUT/spctl" explain lost "$DIR/none" 2>&1 | sed "s|$DIR|DIR|"
+"$OUT/spctl" explain lost 2>&1
