--- a/Makefile
+++ b/Makefile
@@ -67,7 +67,7 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ -lpthread $(RELAYLIBS)
 
-$(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(filter-out test/fuzz.c,\
+$(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(filter-out test/fuzz%,\
 		$(wildcard test/*.c))) $(PLATOBJ) $(OUT)/relay/frame.o \
 		$(OUT)/libsp.a
 	@echo ld $@
@@ -80,6 +80,12 @@
 soak: $(OUT)/sptest
 	$(OUT)/sptest soak -s 1000000 -n 10000
 
+# the real programs under faults from outside, a seed after the other
+FIRST = 1
+LAST = 50
+soak-relay: all
+	@test/soak-relay.sh $(OUT) $(FIRST) $(LAST)
+
 mutants:
 	@test/mutants.sh
 
@@ -89,8 +95,8 @@
 	@mkdir -p out/fuzz out/corpus
 	clang $(CPPFLAGS) -std=c11 -D_GNU_SOURCE -g -O1 \
 		-fsanitize=fuzzer,address,undefined -o out/fuzz/spfuzz \
-		test/fuzz.c $(LIBSRC) -lmsgpackc -lm \
-		$(shell pkg-config --libs $(PKGS))
+		test/fuzz.c test/fuzz_wire.c $(LIBSRC) $(wildcard platform/*.c http/*.c) \
+		relay/frame.c $(RELAYLIBS)
 	out/fuzz/spfuzz -runs=$(FUZZ_RUNS) -seed=1 -max_len=4096 out/corpus
 
 demo:
@@ -124,4 +130,4 @@
 -include $(LIBOBJ:.o=.d) $(WEBOBJ:.o=.d) $(NODEOBJ:.o=.d) \
 	$(wildcard $(OUT)/*/*.d)
 
-.PHONY: all test soak mutants fuzz demo demo-faults bench slopes format lint clean
+.PHONY: all test soak soak-relay mutants fuzz demo demo-faults bench slopes format lint clean
--- a/test/fuzz.c
+++ b/test/fuzz.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "core/core.h"
+#include "test/fuzz.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t n);
 
@@ -110,7 +111,7 @@
     if (n == 0) {
         return 0;
     }
-    switch (data[0] % 4) {
+    switch (data[0] % (4 + SP_FUZZ_WIRE)) {
     case 0:
         fuzz_members(p, n - 1);
         break;
@@ -120,9 +121,12 @@
     case 2:
         fuzz_doc(p, n - 1);
         break;
-    default:
+    case 3:
         fuzz_text(p, n - 1);
         break;
+    default:
+        fuzz_wire((data[0] % (4 + SP_FUZZ_WIRE)) - 4, p, n - 1);
+        break;
     }
     return 0;
 }
--- /dev/null
+++ b/test/fuzz_wire.c
@@ -0,0 +1,151 @@
+/* Fuzzing of what the platform, instances, callers and relays send. */
+#include "test/fuzz.h"
+
+#include <string.h>
+
+#include "http/priv.h"
+#include "platform/platform.h"
+#include "relay/frame.h"
+
+static SpMsg
+make_msg(const char *p, size_t n)
+{
+    SpMsg m = {
+        .method = "POST", .target = "/Instances.Heartbeat/i-1", .status = 200};
+
+    m.body = g_strndup(p, n); /* a body ends with a zero byte */
+    m.body_len = n;
+    return m;
+}
+
+static void
+fuzz_report(const char *p, size_t n)
+{
+    SpMsg m = make_msg(p, n);
+    SpReport r;
+
+    SpPlatform_Report(&m, &r);
+    m.target = "/Instances.Deregister/i-1";
+    SpPlatform_Report(&m, &r);
+    g_free(m.body);
+}
+
+static void
+fuzz_config(const char *p, size_t n)
+{
+    GError *err = NULL;
+    SpRoutes *rs = SpPlatform_Config(p, n, &err);
+
+    if (rs) {
+        SpRoutes_Find(rs, "h.example", "/x/y");
+    }
+    SpRoutes_Unref(rs);
+    g_clear_error(&err);
+}
+
+static void
+free_records(SpRecords *rs)
+{
+    SpArena_Free(rs->arena);
+    g_array_free(rs->list, TRUE);
+}
+
+static void
+fuzz_records(const char *p, size_t n)
+{
+    SpMsg m = make_msg(p, n);
+    SpRecords rs;
+
+    SpPlatform_ReadRead(&m, &rs);
+    free_records(&rs);
+    SpPlatform_ReadNewest(&m, &rs);
+    free_records(&rs);
+    g_free(m.body);
+}
+
+static int
+take_msg(void *ctx, SpMsg *m)
+{
+    SpAsk a;
+    SpReply r;
+
+    if (m->method) {
+        SpPlatform_Adapter.read_request(m, &a);
+    }
+    else {
+        SpPlatform_Adapter.read_reply(m, "id", &r);
+    }
+    SpMsg_Free(m);
+    *(int *)ctx += 1;
+    return 0;
+}
+
+static void
+fuzz_http(const char *p, size_t n, enum http_parser_type type)
+{
+    SpReader r;
+    int seen = 0;
+    size_t half = n / 2;
+
+    SpReader_Init(&r, type);
+    r.done = take_msg;
+    r.ctx = &seen;
+    r.max_head = r.max_body = 4096;
+    if (SpReader_Feed(&r, p, half) == half) {
+        SpReader_Feed(&r, p + half, n - half);
+    }
+    SpReader_End(&r);
+    SpReader_Clear(&r);
+}
+
+static int
+take_frame(void *ctx, FrameType type, FrameIn *f)
+{
+    char text[16];
+    size_t n;
+    uint32_t count;
+
+    (void)ctx;
+    (void)type;
+    get_uint(f);
+    get_str(f, text, sizeof text);
+    get_real(f);
+    get_bin(f, &n);
+    get_array(f, &count);
+    return 1;
+}
+
+static void
+fuzz_frames(const char *p, size_t n)
+{
+    GByteArray *in = g_byte_array_new();
+
+    g_byte_array_append(in, (const guint8 *)p, (guint)n);
+    read_frames(in, take_frame, NULL);
+    g_byte_array_unref(in);
+}
+
+void
+fuzz_wire(int which, const char *p, size_t n)
+{
+    switch (which) {
+    case 0:
+        fuzz_report(p, n);
+        break;
+    case 1:
+        fuzz_config(p, n);
+        break;
+    case 2:
+        fuzz_records(p, n);
+        break;
+    case 3:
+        fuzz_http(p, n, HTTP_REQUEST);
+        break;
+    case 4:
+        fuzz_http(p, n, HTTP_RESPONSE);
+        break;
+    default:
+        fuzz_frames(p, n);
+        break;
+    }
+}
