--- a/test/walks.t
+++ b/test/walks.t
@@ -69,3 +69,4 @@
 "$OUT/spctl" explain never "$DIR"/relay-*.out | sed -E 's/[0-9]+ lines/N lines/'
 "$OUT/spctl" explain lost "$DIR/none" 2>&1 | sed "s|$DIR|DIR|"
 "$OUT/spctl" explain lost 2>&1
+echo "status $?"
