--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -86,37 +86,37 @@
 }
 
 /* What one pick goes by. */
-typedef struct Field {
+typedef struct Pick {
     SpUpstream *const *list;
     guint n;
     const SpChoice *ch;
     SpTakes takes;
     int bad; /* 1: those that failed lately count too */
     double usual;
-} Field;
+} Pick;
 
 static int
-is_open(const Field *f, const SpUpstream *u)
+is_open(const Pick *p, const SpUpstream *u)
 {
-    return u->takes == f->takes &&
-           !was_tried(u, f->ch->tried, f->ch->ntried) &&
-           (f->bad || u->bad_until <= f->ch->now);
+    return u->takes == p->takes &&
+           !was_tried(u, p->ch->tried, p->ch->ntried) &&
+           (p->bad || u->bad_until <= p->ch->now);
 }
 
 static SpUpstream *
-cheapest(const Field *f, double *low)
+cheapest(const Pick *p, double *low)
 {
     SpUpstream *best = NULL;
     double cost;
     guint i;
 
-    for (i = 0; i < f->n; i++) {
-        if (!is_open(f, f->list[i])) {
+    for (i = 0; i < p->n; i++) {
+        if (!is_open(p, p->list[i])) {
             continue;
         }
-        cost = cost_of(f->list[i], f->usual, f->ch->far_us);
+        cost = cost_of(p->list[i], p->usual, p->ch->far_us);
         if (!best || cost < *low) {
-            best = f->list[i];
+            best = p->list[i];
             *low = cost;
         }
     }
@@ -125,22 +125,22 @@
 
 /* Draws two of those that are as good as the cheapest, and as near. */
 static SpUpstream *
-draw(const Field *f, const SpUpstream *best, double low)
+draw(const Pick *p, const SpUpstream *best, double low)
 {
     SpUpstream *drawn[2] = {NULL, NULL};
     double costs[2] = {0, 0}, cost;
     guint i, at, seen = 0;
 
-    for (i = 0; i < f->n; i++) {
-        SpUpstream *u = f->list[i];
-        if (!is_open(f, u) || u->near != best->near) {
+    for (i = 0; i < p->n; i++) {
+        SpUpstream *u = p->list[i];
+        if (!is_open(p, u) || u->near != best->near) {
             continue;
         }
-        cost = cost_of(u, f->usual, f->ch->far_us);
+        cost = cost_of(u, p->usual, p->ch->far_us);
         if (cost > BAND * low) {
             continue;
         }
-        at = seen < 2 ? seen : (guint)(SpRand_Unit(f->ch->rand) * (seen + 1));
+        at = seen < 2 ? seen : (guint)(SpRand_Unit(p->ch->rand) * (seen + 1));
         seen++;
         if (at < 2) {
             drawn[at] = u;
@@ -152,13 +152,13 @@
 
 /* One that has not been tried for long; NULL if there is none. */
 static SpUpstream *
-forgotten(const Field *f)
+untried(const Pick *p)
 {
     guint i;
 
-    for (i = 0; i < f->n; i++) {
-        SpUpstream *u = f->list[i];
-        if (u->near && f->ch->now - u->sent_at > TRICKLE_US && is_open(f, u) &&
+    for (i = 0; i < p->n; i++) {
+        SpUpstream *u = p->list[i];
+        if (u->near && p->ch->now - u->sent_at > TRICKLE_US && is_open(p, u) &&
             use_of(u) < LIGHT_SHARE) {
             return u;
         }
@@ -167,12 +167,12 @@
 }
 
 static SpUpstream *
-pick(const Field *f)
+pick(const Pick *p)
 {
     double low = 0;
-    const SpUpstream *best = cheapest(f, &low);
+    const SpUpstream *best = cheapest(p, &low);
 
-    return best ? draw(f, best, low) : NULL;
+    return best ? draw(p, best, low) : NULL;
 }
 
 SpUpstream *
@@ -182,14 +182,14 @@
         SpTakes takes;
         int bad;
     } order[] = {{SP_TAKES_ALL, 0}, {SP_TAKES_LAST, 0}, {SP_TAKES_ALL, 1}};
-    Field f = {list, n, ch, SP_TAKES_ALL, 0, usual_run(list, n)};
-    SpUpstream *u = ch->ntried ? NULL : forgotten(&f);
+    Pick p = {list, n, ch, SP_TAKES_ALL, 0, usual_run(list, n)};
+    SpUpstream *u = ch->ntried ? NULL : untried(&p);
     size_t i;
 
     for (i = 0; !u && i < G_N_ELEMENTS(order); i++) {
-        f.takes = order[i].takes;
-        f.bad = order[i].bad;
-        u = pick(&f);
+        p.takes = order[i].takes;
+        p.bad = order[i].bad;
+        u = pick(&p);
     }
     return u;
 }
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -107,7 +107,7 @@
     int queued;
     GQueue queue[SP_LANES];
     double run_us;  /* smoothed time of one run, a guess before the first */
-    int measured;   /* runs that were */
+    int measured;   /* runs that it is from, up to a bound */
     int64_t starts; /* sum of the start times of those that run */
 } SpLimiter;
 
--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -5,6 +5,8 @@
 
 /* Weight of one run in the smoothed time. */
 #define RUN_WEIGHT 0.05
+/* From so many runs on, each has the weight above. */
+#define ENOUGH_RUNS 100
 /* What is taken for a run before the first one has ended. */
 #define FIRST_RUN_US (30.0 * SP_MS)
 /* The age of fewer runs than this says little. */
@@ -176,7 +178,7 @@
     l->running--;
     l->starts -= t->started;
     if (ran_us >= 0) {
-        l->measured++;
+        l->measured = MIN(l->measured + 1, ENOUGH_RUNS);
         l->run_us +=
             MAX(RUN_WEIGHT, 1.0 / l->measured) * ((double)ran_us - l->run_us);
     }
