Paths can be freed; their test frees them

make test SAN=1 failed in unit: 'paths, nobody there' leaked what it made, and there was no way to free it. The relay keeps its paths until it ends.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -189,6 +189,7 @@
 typedef struct SpPaths SpPaths;
 
 SpPaths *SpPaths_New(void);
+void SpPaths_Free(SpPaths *ps);
 /* SpPaths_Called notes that a run of a route called another one. */
 void SpPaths_Called(SpPaths *ps, int64_t now, const char *route,
                     const char *child);
--- a/flow/paths.c
+++ b/flow/paths.c
@@ -29,15 +29,30 @@
     GHashTable *routes; /* name to Path */
 };
 
+static void
+free_path(gpointer p)
+{
+    g_hash_table_destroy(((Path *)p)->children);
+    g_free(p);
+}
+
 SpPaths *
 SpPaths_New(void)
 {
     SpPaths *ps = g_new0(SpPaths, 1);
 
-    ps->routes = g_hash_table_new(g_str_hash, g_str_equal);
+    ps->routes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_path);
     return ps;
 }
 
+void
+SpPaths_Free(SpPaths *ps)
+{
+    g_hash_table_destroy(ps->routes);
+    g_free(ps);
+}
+
 static Path *
 path_of(SpPaths *ps, const char *route)
 {
--- a/test/flow.c
+++ b/test/flow.c
@@ -317,6 +317,7 @@
     SpPaths_None(ps, 5 * SP_SEC, "r");
     CU_ASSERT(SpPaths_Shares(ps, 5 * SP_SEC + 100 * SP_MS, "r").of[0] <= 0);
     CU_ASSERT(SpPaths_Shares(ps, 5 * SP_SEC + 250 * SP_MS, "r").of[0] >= 1);
+    SpPaths_Free(ps);
 }
 
 static void
