The soak ends every process that it started

Three stand-in instances were left behind by runs in which one series of faults had paused an instance that the other replaced: only the newest id of each name was kept. All ids are kept now; one that another program has taken over is left alone. faults.t: as expected, nothing left running.

--- a/test/faults.sh
+++ b/test/faults.sh
@@ -5,8 +5,12 @@
 # instances saw, and that all is served again. Prints a line a broken promise.
 . test/fleet.sh
 stop_all() { # what subshells have started, too
-    local f
-    for f in "$DIR"/*.pid; do kill -9 "$(cat "$f")" 2>/dev/null; done
+    local p
+    while read -r p; do
+        case $(cat "/proc/$p/comm" 2>/dev/null) in
+        sp*) kill -9 "$p" 2>/dev/null ;; # no other has taken its number
+        esac
+    done <"$DIR/pids"
     wait 2>/dev/null
 }
 RANDOM=$SEED
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -11,6 +11,7 @@
     shift
     "$@" >>"$DIR/$name.out" 2>>"$DIR/$name.err" &
     echo $! >"$DIR/$name.pid"
+    echo $! >>"$DIR/pids"
     PIDS="$PIDS $!"
 }
 
