--- a/flow/flow.h
+++ b/flow/flow.h
@@ -124,9 +124,6 @@
 SpTurn *SpLimiter_Late(SpLimiter *l, int64_t now);
 /* SpLimiter_End ends a turn, queued or running; ran_us < 0: no sample. */
 void SpLimiter_End(SpLimiter *l, int64_t now, SpTurn *t, int64_t ran_us);
-/* SpLimiter_Run is the time that a run takes now: the smoothed one, or the
-   mean age of those under way if that is longer. */
-double SpLimiter_Run(const SpLimiter *l, int64_t now);
 /* SpLimiter_Told is what other nodes hear of it: 0 before any run has ended
    and while few are under way. */
 double SpLimiter_Told(const SpLimiter *l, int64_t now);
--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -36,8 +36,10 @@
     l->limit = MAX(1, (int)(slots * FULL_SHARE));
 }
 
-double
-SpLimiter_Run(const SpLimiter *l, int64_t now)
+/* The time that a run takes now: the smoothed one, or the mean age of those
+   under way if that is longer. */
+static double
+run_time(const SpLimiter *l, int64_t now)
 {
     int64_t begun;
 
@@ -51,7 +53,7 @@
 double
 SpLimiter_Told(const SpLimiter *l, int64_t now)
 {
-    double run = SpLimiter_Run(l, now);
+    double run = run_time(l, now);
 
     return l->measured || run > FIRST_RUN_US ? run : 0;
 }
@@ -73,7 +75,7 @@
     for (i = 0; i <= lane && i < SP_LANES; i++) {
         ahead += (int)l->queue[i].length;
     }
-    return (int64_t)((ahead + 1) * SpLimiter_Run(l, now) / l->limit);
+    return (int64_t)((ahead + 1) * run_time(l, now) / l->limit);
 }
 
 static int
