--- a/relay/entry.c
+++ b/relay/entry.c
@@ -254,6 +254,7 @@
                          c->tried, 0, &c->n->rand};
     SpUpstream *u;
 
+    use_service(s, c->n, now);
     while (c->ntried < MAX_TRIES) {
         if (c->deadline - now < MIN_LEFT_US) {
             refuse_or_fail(c, SP_LATE);
--- a/relay/frame.c
+++ b/relay/frame.c
@@ -9,6 +9,16 @@
 
 #define LENGTH_BYTES 4
 
+static const char *const type_names[FRAME_NTYPES] = {
+    "hello",  "state",      "alive",  "call",   "answer",
+    "cancel", "get_config", "config", "digest", "members"};
+
+const char *
+FrameType_Name(FrameType type)
+{
+    return type_names[type];
+}
+
 static int
 write_out(void *data, const char *p, size_t n)
 {
@@ -21,6 +31,7 @@
 {
     f->out = out;
     f->start = out->len;
+    f->count = NULL;
     g_byte_array_set_size(out, out->len + LENGTH_BYTES);
     msgpack_packer_init(&f->pk, out, write_out);
     msgpack_pack_array(&f->pk, nargs + 1);
@@ -70,6 +81,25 @@
     guint32 n = g_htonl(f->out->len - f->start - LENGTH_BYTES);
 
     memcpy(f->out->data + f->start, &n, LENGTH_BYTES);
+    if (f->count) {
+        f->count->frames++;
+        f->count->bytes += f->out->len - f->start;
+    }
+}
+
+void
+begin_fields(FrameOut *f, GByteArray *out)
+{
+    f->out = out;
+    f->start = out->len;
+    f->count = NULL;
+    msgpack_packer_init(&f->pk, out, write_out);
+}
+
+void
+put_fields(FrameOut *f, const GByteArray *fields)
+{
+    g_byte_array_append(f->out, fields->data, fields->len);
 }
 
 static const msgpack_object *
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -12,11 +12,11 @@
 #define SP_FRAME_BYTES ((size_t)80 << 20)
 
 typedef enum {
-    FRAME_HELLO,  /* name, link address, zone, service, incarnation, the fields
-                     of FRAME_STATE, addresses of the known nodes */
+    FRAME_HELLO,  /* name, link address, zone, service, start, the fields of
+                     FRAME_STATE, number and digest of the known members */
     FRAME_STATE,  /* accepts, busy, limit, run time, demand by rank, capacity,
                      follows, version of the configuration */
-    FRAME_ALIVE,  /* keep-alive, no fields */
+    FRAME_ALIVE,  /* keep-alive: version of the configuration */
     FRAME_CALL,   /* seq, id, service, route, share, rank, nested, is_retry,
                      idempotent, time to the deadline, head, body */
     FRAME_ANSWER, /* seq, kind, outcome, reached, nested_failed, shares of the
@@ -24,13 +24,25 @@
     FRAME_CANCEL, /* seq */
     FRAME_GET_CONFIG, /* request for the configuration, no fields */
     FRAME_CONFIG,     /* the text of the configuration */
+    FRAME_DIGEST,     /* digest of the members: asks for those that differ */
+    FRAME_MEMBERS, /* digest, 1 if an answer is wanted, list of members: name,
+                      link address, zone, service, start */
     FRAME_NTYPES
 } FrameType;
 
+/* Frames of one type and their bytes. */
+typedef struct FrameCount {
+    uint64_t frames, bytes;
+} FrameCount;
+
+/* FrameType_Name returns the name of a type in metrics. */
+const char *FrameType_Name(FrameType type);
+
 /* Appends one frame to out. */
 typedef struct FrameOut {
     GByteArray *out;
     guint start;
+    FrameCount *count; /* increased at its end; NULL: none */
     msgpack_packer pk;
 } FrameOut;
 
@@ -43,6 +55,10 @@
 void put_bin(FrameOut *f, const void *p, size_t n);
 void put_array(FrameOut *f, size_t n);
 void end_frame(FrameOut *f);
+/* begin_fields begins a list of fields outside of a frame; put_fields appends
+   such a list to a frame. */
+void begin_fields(FrameOut *f, GByteArray *out);
+void put_fields(FrameOut *f, const GByteArray *fields);
 
 /* Fields of a frame. A missing field, or one of the wrong type, reads as zero
    or empty and sets bad. */
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -356,21 +356,22 @@
     }
 }
 
-/* Total demand reported by the other instances of the service. */
+/* Total demand of the other instances of the service, estimated from those to
+   which this node has links. */
 static SpDemand
 remote_demand(Relay *n)
 {
     const Service *s = service_of(n, n->settings.service);
-    SpDemand sum = {{0}, 0};
+    SpDemand near = {{0}, 0}, far = {{0}, 0};
     guint i;
 
     for (i = 0; i < s->upstreams->len; i++) {
         const SpUpstream *u = g_ptr_array_index(s->upstreams, i);
         if (u != &n->self && u->accepts == SP_ACCEPT_ALL) {
-            SpDemand_Add(&sum, &u->demand);
+            SpDemand_Add(u->same_zone ? &near : &far, &u->demand);
         }
     }
-    return sum;
+    return SpSubset_EstimateDemand(&s->linked, &near, &far);
 }
 
 void
--- a/relay/link.c
+++ b/relay/link.c
@@ -3,10 +3,9 @@
 
 #include "relay/link.h"
 
-/* Interval of the state messages. */
-#define STATE_INTERVAL_US (400 * SP_MS)
-/* A link that receives nothing for longer is closed. */
-#define SILENCE_TIMEOUT_US (1500 * SP_MS)
+/* A link that receives nothing for this long beyond the interval of the state
+   messages is closed. */
+#define SILENCE_SLACK_US (1100 * SP_MS)
 #define CONNECT_TIMEOUT_US (1 * SP_SEC)
 /* Maximum delay between attempts to connect. */
 #define BACKOFF_MAX_US (2 * SP_SEC)
@@ -25,14 +24,55 @@
     g_free(conn);
 }
 
-static void
-close_conn(LinkConn *conn, const char *why)
+static int
+is_active(const LinkConn *conn, int64_t now)
 {
-    Peer *p = conn->peer;
+    return conn->used_at && now - conn->used_at < SP_ACTIVE_US;
+}
 
-    if (conn->closing) {
-        return;
+void
+mark_used(LinkConn *conn, int64_t now)
+{
+    if (!is_active(conn, now)) {
+        conn->active_since = now;
     }
+    conn->used_at = now;
+}
+
+int64_t
+state_interval_us(const LinkConn *conn, int64_t now)
+{
+    return is_active(conn, now) ? SP_STATE_US : SP_STATE_IDLE_US;
+}
+
+/* The other side sends at the interval of an active link from the first call
+   on, so what was received before was followed by a longer silence. */
+static int64_t
+expected_silence_us(const LinkConn *conn, int64_t now)
+{
+    return conn->received_at >= conn->active_since
+               ? state_interval_us(conn, now)
+               : SP_STATE_IDLE_US;
+}
+
+int
+is_suspect(const LinkConn *conn, int64_t now)
+{
+    return now - conn->received_at >
+           expected_silence_us(conn, now) + SP_SUSPECT_US;
+}
+
+void
+begin_link_frame(FrameOut *f, LinkConn *conn, FrameType type, size_t nargs)
+{
+    begin_frame(f, conn->out, type, nargs);
+    f->count = &conn->n->links->sent[type];
+}
+
+/* Closes the socket and drops the jobs of its calls. */
+static void
+end_conn(LinkConn *conn)
+{
     conn->closing = 1;
     g_ptr_array_remove_fast(conn->n->links->conns, conn);
     /* reset, so that data still in flight is discarded and not delivered after
@@ -41,17 +81,55 @@
         uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
     }
     drop_jobs(conn);
+    if (conn->peer) {
+        conn->peer->conn = NULL;
+        conn->peer->upstream.accepts = SP_ACCEPT_NONE;
+    }
+}
+
+void
+close_unused(LinkConn *conn)
+{
+    SpLog(SP_LOG_DEBUG, "link-closed", "peer=%s addr=%s", conn->peer->name,
+          conn->peer->addr);
+    end_conn(conn);
+}
+
+/* Marks a member to which no link could be opened. */
+static void
+mark_unreachable(Peer *p)
+{
+    SpNodeInfo *m = SpDirectory_Get(p->n->directory, p->name);
+
+    if (m && strcmp(m->addr, p->addr) == 0 && !m->unreachable) {
+        m->unreachable = 1;
+        p->n->links->refresh = 1;
+    }
+}
+
+/* Closes a link that failed; its calls end as lost. */
+static void
+close_conn(LinkConn *conn, const char *why)
+{
+    Peer *p = conn->peer;
+
+    if (conn->closing) {
+        return;
+    }
+    end_conn(conn);
     if (!p) {
         return;
     }
-    if (conn->connected) {
+    if (!conn->name[0]) {
+        mark_unreachable(p);
+    }
+    else {
+        p->n->links->lost++;
         SpLog(SP_LOG_WARN, "link-lost",
               "peer=%s addr=%s why=%s calls=%u silent_ms=%" PRId64, p->name,
               p->addr, why, g_hash_table_size(p->calls),
               (SpHttp_Now() - conn->received_at) / SP_MS);
     }
-    p->conn = NULL;
-    p->upstream.accepts = SP_ACCEPT_NONE;
     p->reconnect_at = SpHttp_Now() + p->backoff_us +
                       (int64_t)(SpRand(&conn->n->rand) % SP_BACKOFF_MIN_US);
     p->backoff_us = MIN(p->backoff_us * 2, BACKOFF_MAX_US);
@@ -132,7 +210,7 @@
     case FRAME_STATE:
         return handle_state(conn, f);
     case FRAME_ALIVE:
-        return 1;
+        return handle_alive(conn, f);
     case FRAME_CALL:
         return handle_call(conn, f);
     case FRAME_ANSWER:
@@ -143,6 +221,10 @@
         return send_config(conn);
     case FRAME_CONFIG:
         return handle_config(conn, f);
+    case FRAME_DIGEST:
+        return handle_digest(conn, f);
+    case FRAME_MEMBERS:
+        return handle_members(conn, f);
     case FRAME_NTYPES:
         break;
     }
@@ -163,6 +245,7 @@
     }
     conn->connected = 1;
     conn->received_at = SpHttp_Now();
+    conn->n->links->opened++;
     uv_tcp_nodelay(&conn->tcp, 1);
     uv_read_start((uv_stream_t *)&conn->tcp, SpHttp_Alloc, on_conn_read);
     send_hello(conn);
@@ -191,15 +274,17 @@
         }
         return;
     }
-    if (now - conn->received_at > SILENCE_TIMEOUT_US) {
+    if (now - conn->received_at >
+        expected_silence_us(conn, now) + SILENCE_SLACK_US) {
         close_conn(conn, "silent");
         return;
     }
-    if (conn->peer && now - conn->received_at > SP_SUSPECT_US) {
+    if (conn->peer && is_suspect(conn, now)) {
         /* avoid the peer until the link is closed or receives data again */
-        conn->peer->upstream.avoid_until = now + SP_SUSPECT_US;
+        conn->peer->upstream.avoid_until =
+            MAX(conn->peer->upstream.avoid_until, now + 2 * SP_RELAY_TICK_US);
     }
-    if (now - conn->state_sent_at > STATE_INTERVAL_US) {
+    if (now - conn->state_sent_at >= state_interval_us(conn, now)) {
         send_state(conn);
     }
 }
@@ -235,6 +320,8 @@
     n->links = ls;
     ls->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     ls->conns = g_ptr_array_new();
+    ls->rumors = g_ptr_array_new_with_free_func(g_free);
+    ls->state = g_byte_array_new();
     uv_tcp_init(n->loop, &ls->tcp);
     ls->tcp.data = n;
     if (SpHttp_ParseAddr(n->settings.link, &sa)) {
--- a/relay/link.h
+++ b/relay/link.h
@@ -1,12 +1,14 @@
 /*
  * link: definitions shared by the files for the links between relays.
  *
- * Each relay opens one connection to every other relay that it knows and sends
- * its calls on it; the answers and the state of the peer arrive on the same
- * connection. When a connection is lost, the outcome of its calls is unknown.
+ * Each relay opens connections to a subset of the other relays
+ * (flow/directory.h) and sends its calls on them; the answers and the state of
+ * the peer arrive on the same connection. When a connection is lost, the
+ * outcome of its calls is unknown.
  *
  *   link.c    connections
- *   peers.c   table of the other relays and their links
+ *   peers.c   table of the other relays, and which of them are linked
+ *   gossip.c  exchange of the directory of members
  *   state.c   exchange of state and configuration
  *   remote.c  calls
  */
@@ -16,9 +18,14 @@
 #include "relay/frame.h"
 #include "relay/relay.h"
 
-/* A link that has received nothing for this long is used only if there is no
-   other. */
-#define SP_SUSPECT_US (700 * SP_MS)
+/* A link on which a call began less than this ago is active. */
+#define SP_ACTIVE_US (5 * SP_SEC)
+/* Interval of the state messages on active and on other links. */
+#define SP_STATE_US (400 * SP_MS)
+#define SP_STATE_IDLE_US (1 * SP_SEC)
+/* A link that has received nothing for this long beyond the interval is used
+   only if there is no other. */
+#define SP_SUSPECT_US (300 * SP_MS)
 /* Minimum delay between attempts to connect. */
 #define SP_BACKOFF_MIN_US (200 * SP_MS)
 
@@ -32,7 +39,13 @@
     GHashTable *jobs; /* on the serving side: seq to Job */
     int connected, closing;
     int64_t received_at, state_sent_at;
+    int64_t used_at;         /* when the last call began on it */
+    int64_t active_since;    /* start of the present series of calls */
+    uint64_t sent_state;     /* number of the last state sent on it */
     char name[SP_FLOW_NAME]; /* of the other side, from its hello */
+    int same_zone;           /* 1: the other side is in this zone */
+    uint64_t version;        /* of the other side's configuration */
+    int64_t version_at;      /* when it was first reported */
 } LinkConn;
 
 struct Peer {
@@ -40,8 +53,10 @@
     char addr[SP_ADDR_BYTES];
     char name[SP_FLOW_NAME];
     char zone[SP_FLOW_NAME];
-    char service[SP_FLOW_NAME];
+    char service[SP_FLOW_NAME]; /* empty: not known yet */
     uint64_t incarnation;
+    int wanted;  /* 1: it is in the subset to be linked */
+    int listed;  /* 1: upstream is in the list of its service */
     int follows; /* 1: it last reported that it follows the configuration in
                     the store */
     SpUpstream upstream;
@@ -49,7 +64,7 @@
     GHashTable *calls; /* seq to Call */
     uint64_t seq;
     int64_t reconnect_at, backoff_us;
-    int64_t seen_at; /* when it was added or last connected */
+    int64_t seen_at; /* when it was added, announced or last connected */
 };
 
 struct Links {
@@ -58,25 +73,60 @@
     GPtrArray *conns;
     uint64_t requested; /* version of the last configuration requested */
     int64_t requested_at;
+    int refresh; /* 1: choose the subset again at the next tick */
+    int64_t refreshed_at;
+    GByteArray *state;     /* the last state sent, without its frame */
+    uint64_t state_number; /* of that state; increases with each change */
+    int64_t state_at;
+    GPtrArray *rumors; /* names of members to pass on */
+    int64_t digest_at; /* when the next digest is sent */
+    uint64_t newest;   /* highest version that a node reported */
+    FrameCount sent[FRAME_NTYPES];
+    uint64_t opened, lost; /* links */
 };
 
 /* link.c */
 void connect_peer(Peer *p);
 void tick_conn(LinkConn *conn, int64_t now);
+/* close_unused closes a link without calls. */
+void close_unused(LinkConn *conn);
+/* begin_link_frame begins a frame that is sent with the next flush. */
+void begin_link_frame(FrameOut *f, LinkConn *conn, FrameType type,
+                      size_t nargs);
+/* mark_used records that a call begins on the link. */
+void mark_used(LinkConn *conn, int64_t now);
+/* state_interval_us returns the interval of the state messages on the link. */
+int64_t state_interval_us(const LinkConn *conn, int64_t now);
+/* is_suspect: 1 if the link has been silent for too long. */
+int is_suspect(const LinkConn *conn, int64_t now);
 
 /* peers.c */
 void set_peer_service(Peer *p, const char *service);
-/* on_peer_connected is called when the node at addr has just connected. */
-void on_peer_connected(Relay *n, const char *addr);
-void add_peers(Relay *n, FrameIn *f);
+/* find_peer returns NULL if no link to addr was ever wanted. */
+Peer *find_peer(const Relay *n, const char *addr);
+/* refresh_links chooses the subset of nodes to be linked. */
+void refresh_links(Relay *n, int64_t now);
+/* retry_peer connects to the node at addr at the next tick, without the
+   backoff: it has just shown that it is running. */
+void retry_peer(Relay *n, const char *addr, int64_t now);
+
+/* gossip.c; the handle functions return 0 if the frame is malformed. */
+void tick_gossip(Relay *n, int64_t now);
+void send_digest(LinkConn *conn);
+int handle_digest(LinkConn *conn, FrameIn *f);
+int handle_members(LinkConn *conn, FrameIn *f);
 
 /* state.c; the handle functions return 0 if the frame is malformed. */
 void send_hello(LinkConn *conn);
 void send_state(LinkConn *conn);
 int handle_hello(LinkConn *conn, FrameIn *f);
 int handle_state(LinkConn *conn, FrameIn *f);
+int handle_alive(LinkConn *conn, FrameIn *f);
 int send_config(LinkConn *conn);
 int handle_config(LinkConn *conn, FrameIn *f);
+/* tick_config_requests requests a configuration that another zone reported and
+   no node of this zone has passed on. */
+void tick_config_requests(Relay *n, int64_t now);
 
 /* remote.c */
 int handle_call(LinkConn *conn, FrameIn *f);
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -53,6 +53,8 @@
 
     put_state(s, n);
     put_counters(s, &n->counters);
+    print_links(n, s);
+    print_store(n, s);
     Metrics_Print(n->metrics, s);
     SpHttpReq_Respond(r, 200, "Content-Type: text/plain; version=0.0.4\r\n",
                       s->str, s->len);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -1,93 +1,243 @@
-/* Table of the other relays and their links. */
+/* Table of the other relays, and which of them are linked. */
 #include <string.h>
 
 #include "relay/link.h"
 
 /* Connection attempts to an address stop after this time without success. */
 #define RECONNECT_LIMIT_US (60 * SP_SEC)
+/* Interval at which the subset is chosen again if nothing has changed. */
+#define REFRESH_US (1 * SP_SEC)
+/* A service is in use for this long after the last request to it. */
+#define SERVICE_USED_US (30 * SP_SEC)
+/* An unwanted link is closed after this time without a new call. */
+#define UNWANTED_US (2 * SP_SEC)
+/* Nodes of the zone, the first ones by name, to which every node of the zone
+   keeps a link: two of them follow the store. */
+#define ZONE_CONTACTS 3
 
-void
-set_peer_service(Peer *p, const char *service)
+/* Instances to link for the service of this node, whose demand is summed up,
+   for the services in use, and for the others. */
+static const SpSubsetOpts own_subset = {NULL, NULL, 16, 8, 12};
+static const SpSubsetOpts used_subset = {NULL, NULL, 16, 4, 10};
+static const SpSubsetOpts idle_subset = {NULL, NULL, 2, 1, 3};
+
+/* Enters the peer in the list of its service or removes it. */
+static void
+set_listed(Peer *p, int listed)
 {
-    Relay *n = p->n;
+    GPtrArray *list;
 
-    if (strcmp(p->service, service) == 0) {
+    if (!p->service[0] || listed == p->listed) {
         return;
     }
-    if (p->service[0]) {
-        g_ptr_array_remove(service_of(n, p->service)->upstreams, &p->upstream);
+    list = service_of(p->n, p->service)->upstreams;
+    p->listed = listed;
+    if (listed) {
+        g_ptr_array_add(list, &p->upstream);
+    }
+    else {
+        g_ptr_array_remove(list, &p->upstream);
     }
-    g_strlcpy(p->service, service, sizeof p->service);
-    g_ptr_array_add(service_of(n, service)->upstreams, &p->upstream);
 }
 
 void
-add_peers(Relay *n, FrameIn *f)
+set_peer_service(Peer *p, const char *service)
 {
-    uint32_t i, count;
-    const msgpack_object *list = get_array(f, &count);
-    char addr[SP_ADDR_BYTES];
-
-    for (i = 0; i < count; i++) {
-        FrameIn entry = {&list[i], 1, 0, 0};
-        get_str(&entry, addr, sizeof addr);
-        if (!entry.bad) {
-            add_peer(n, addr);
-        }
+    if (strcmp(p->service, service) != 0) {
+        set_listed(p, 0);
+        g_strlcpy(p->service, service, sizeof p->service);
     }
+    set_listed(p, p->wanted);
+}
+
+Peer *
+find_peer(const Relay *n, const char *addr)
+{
+    return g_hash_table_lookup(n->links->peers, addr);
 }
 
-/* Connects to the peer at the next tick, without the backoff: it has just
-   shown that it is running. */
 void
-on_peer_connected(Relay *n, const char *addr)
+retry_peer(Relay *n, const char *addr, int64_t now)
 {
-    Peer *p;
+    Peer *p = find_peer(n, addr);
 
-    add_peer(n, addr);
-    p = g_hash_table_lookup(n->links->peers, addr);
     if (p && !p->conn) {
+        p->backoff_us = SP_BACKOFF_MIN_US;
         p->reconnect_at = 0;
-        p->seen_at = SpHttp_Now();
+        p->seen_at = now;
     }
 }
 
-void
-add_peer(Relay *n, const char *addr)
+static Peer *
+new_peer(Relay *n, const char *addr, int64_t now)
 {
-    Peer *p = g_hash_table_lookup(n->links->peers, addr);
+    Peer *p = g_new0(Peer, 1);
 
-    if (p) {
-        /* the address was announced again: reset the backoff */
-        if (!p->conn && p->backoff_us > SP_BACKOFF_MIN_US) {
-            p->backoff_us = SP_BACKOFF_MIN_US;
-        }
-        return;
-    }
-    if (strcmp(addr, n->settings.link) == 0 ||
-        !SpParse_Addr(addr, (char[64]){0}, 64, &(int){0})) {
-        return;
-    }
-    p = g_new0(Peer, 1);
     p->n = n;
     g_strlcpy(p->addr, addr, sizeof p->addr);
     p->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     p->backoff_us = SP_BACKOFF_MIN_US;
     p->upstream.user = p;
-    p->seen_at = SpHttp_Now();
+    p->seen_at = now;
     g_hash_table_insert(n->links->peers, g_strdup(addr), p);
-    connect_peer(p);
+    return p;
+}
+
+static void
+want_peer(Relay *n, const SpNodeInfo *m, int64_t now)
+{
+    Peer *p = find_peer(n, m->addr);
+
+    if (!p) {
+        p = new_peer(n, m->addr, now);
+    }
+    if (!p->conn) {
+        g_strlcpy(p->name, m->name, sizeof p->name);
+    }
+    p->wanted = 1;
+}
+
+/*
+ * Choice of the subset.
+ */
+
+static const SpSubsetOpts *
+subset_for(const Relay *n, const Service *s, int64_t now)
+{
+    if (strcmp(s->name, n->settings.service) == 0) {
+        return &own_subset;
+    }
+    return s->used_at && now - s->used_at < SERVICE_USED_US ? &used_subset
+                                                            : &idle_subset;
+}
+
+static void
+want_service(Relay *n, const char *name, const GPtrArray *list, int64_t now)
+{
+    Service *s = service_of(n, name);
+    SpSubsetOpts o = *subset_for(n, s, now);
+    guint i, chosen;
+
+    o.self = n->settings.name;
+    o.zone = n->settings.zone;
+    chosen =
+        SpSubset_Choose((SpNodeInfo **)list->pdata, list->len, &o, &s->linked);
+    for (i = 0; i < chosen; i++) {
+        want_peer(n, g_ptr_array_index(list, i), now);
+    }
+}
+
+/* Returns a table of service name to GPtrArray of SpNodeInfo, without this
+   node. */
+static GHashTable *
+group_members(const Relay *n)
+{
+    GHashTable *groups = g_hash_table_new_full(
+        g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+    SpDirectoryIter it = {0};
+    SpNodeInfo *m;
+    GPtrArray *list;
+
+    while ((m = SpDirectory_Next(n->directory, &it)) != NULL) {
+        if (strcmp(m->name, n->settings.name) == 0) {
+            continue;
+        }
+        list = g_hash_table_lookup(groups, m->service);
+        if (!list) {
+            list = g_ptr_array_new();
+            g_hash_table_insert(groups, m->service, list);
+        }
+        g_ptr_array_add(list, m);
+    }
+    return groups;
+}
+
+static int
+compare_names(gconstpointer a, gconstpointer b)
+{
+    return strcmp((*(SpNodeInfo *const *)a)->name,
+                  (*(SpNodeInfo *const *)b)->name);
+}
+
+static void
+want_zone_contacts(Relay *n, int64_t now)
+{
+    GPtrArray *list = g_ptr_array_new();
+    SpDirectoryIter it = {0};
+    SpNodeInfo *m;
+    guint i, reachable = 0;
+
+    while ((m = SpDirectory_Next(n->directory, &it)) != NULL) {
+        if (strcmp(m->zone, n->settings.zone) == 0 &&
+            strcmp(m->name, n->settings.name) != 0) {
+            g_ptr_array_add(list, m);
+        }
+    }
+    g_ptr_array_sort(list, compare_names);
+    for (i = 0; i < list->len && reachable < ZONE_CONTACTS; i++) {
+        m = g_ptr_array_index(list, i);
+        want_peer(n, m, now);
+        reachable += !m->unreachable;
+    }
+    g_ptr_array_unref(list);
 }
 
 void
+refresh_links(Relay *n, int64_t now)
+{
+    GHashTable *groups = group_members(n);
+    GHashTableIter it;
+    gpointer name, value;
+
+    n->links->refresh = 0;
+    n->links->refreshed_at = now;
+    g_hash_table_iter_init(&it, n->links->peers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        ((Peer *)value)->wanted = 0;
+    }
+    g_hash_table_iter_init(&it, groups);
+    while (g_hash_table_iter_next(&it, &name, &value)) {
+        want_service(n, name, value, now);
+    }
+    want_zone_contacts(n, now);
+    g_hash_table_iter_init(&it, n->links->peers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        Peer *p = value;
+        set_listed(p, p->wanted);
+    }
+    g_hash_table_destroy(groups);
+}
+
+void
+use_service(Service *s, Relay *n, int64_t now)
+{
+    if (!s->used_at || now - s->used_at >= SERVICE_USED_US) {
+        n->links->refresh = 1;
+    }
+    s->used_at = now;
+}
+
+/*
+ * Timer and counts.
+ */
+
+static void
 tick_peer(Peer *p, int64_t now)
 {
-    if (p->conn) {
-        p->seen_at = p->conn->connected ? now : p->seen_at;
+    LinkConn *conn = p->conn;
+
+    if (conn && !p->wanted && g_hash_table_size(p->calls) == 0 &&
+        now - MAX(conn->used_at, p->seen_at) > UNWANTED_US) {
+        close_unused(conn);
         return;
     }
-    if (now >= p->reconnect_at && now - p->seen_at < RECONNECT_LIMIT_US) {
+    if (conn) {
+        p->seen_at = conn->connected && p->wanted ? now : p->seen_at;
+        return;
+    }
+    if (p->wanted && now >= p->reconnect_at &&
+        now - p->seen_at < RECONNECT_LIMIT_US) {
         connect_peer(p);
     }
 }
@@ -95,33 +245,25 @@
 void
 tick_links(Relay *n, int64_t now)
 {
+    Links *ls = n->links;
     GHashTableIter it;
     gpointer p;
     guint i;
 
-    for (i = n->links->conns->len; i > 0; i--) {
-        if (i <= n->links->conns->len) {
-            tick_conn(g_ptr_array_index(n->links->conns, i - 1), now);
+    if (ls->refresh || now - ls->refreshed_at > REFRESH_US) {
+        refresh_links(n, now);
+    }
+    for (i = ls->conns->len; i > 0; i--) {
+        if (i <= ls->conns->len) {
+            tick_conn(g_ptr_array_index(ls->conns, i - 1), now);
         }
     }
-    g_hash_table_iter_init(&it, n->links->peers);
+    g_hash_table_iter_init(&it, ls->peers);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         tick_peer(p, now);
     }
-}
-
-void
-broadcast_state(Relay *n)
-{
-    guint i;
-
-    for (i = 0; i < n->links->conns->len; i++) {
-        LinkConn *conn = g_ptr_array_index(n->links->conns, i);
-        if (conn->connected) {
-            send_state(conn);
-        }
-    }
-    flush_links(n);
+    tick_config_requests(n, now);
+    tick_gossip(n, now);
 }
 
 guint
@@ -134,7 +276,7 @@
     g_hash_table_iter_init(&it, n->links->peers);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         Peer *q = p;
-        up += q->conn && q->service[0];
+        up += q->conn && q->listed;
     }
     return up;
 }
@@ -151,9 +293,29 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Peer *p = v;
         count += p->conn && p->conn->connected && p->follows &&
-                 p->upstream.same_zone &&
-                 now - p->conn->received_at < SP_SUSPECT_US &&
+                 p->upstream.same_zone && !is_suspect(p->conn, now) &&
                  strcmp(p->name, n->settings.name) < 0;
     }
     return count;
 }
+
+void
+print_links(const Relay *n, GString *s)
+{
+    const Links *ls = n->links;
+    int i;
+
+    g_string_append_printf(
+        s,
+        "sp_members %u\nsp_link_connections %u\n"
+        "sp_links_opened_total %" PRIu64 "\nsp_links_lost_total %" PRIu64 "\n",
+        SpDirectory_Count(n->directory), ls->conns->len, ls->opened, ls->lost);
+    for (i = 0; i < FRAME_NTYPES; i++) {
+        g_string_append_printf(
+            s,
+            "sp_link_frames_total{type=\"%s\"} %" PRIu64 "\n"
+            "sp_link_bytes_total{type=\"%s\"} %" PRIu64 "\n",
+            FrameType_Name((FrameType)i), ls->sent[i].frames,
+            FrameType_Name((FrameType)i), ls->sent[i].bytes);
+    }
+}
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -6,7 +6,8 @@
  *   instance.c  the local instance: reports, queue, runs
  *   check.c     status checks of the local instance
  *   link.c      connections to the other relays (link.h: shared definitions)
- *   peers.c     table of the other relays
+ *   peers.c     table of the other relays, and which of them are linked
+ *   gossip.c    exchange of the directory of members between relays
  *   state.c     exchange of state and configuration between relays
  *   remote.c    calls between relays
  *   frame.c     encoding of the messages on those connections
@@ -20,6 +21,7 @@
 #define SP_RELAY_H
 
 #include "conf/conf.h"
+#include "flow/directory.h"
 #include "relay/adapter.h"
 #include "relay/metrics.h"
 
@@ -46,6 +48,7 @@
     double stop_s;   /* maximum duration of a graceful stop */
     double retry_ratio, retry_slack, retry_window_s;
     char log_level[16];
+    int first_start; /* 1: all nodes start for the first time, together */
 } SpRelaySettings;
 
 /* SpRelaySettings_Load adds problems to ps and returns 0 if there are any. */
@@ -133,11 +136,13 @@
     int unreachable;       /* connecting to it failed */
 } Instance;
 
-/* The instances of a service, and the budget of retries to them. */
+/* The linked instances of a service, and the budget of retries to them. */
 typedef struct Service {
     char name[SP_FLOW_NAME];
     GPtrArray *upstreams; /* of SpUpstream */
     SpRetryBudget retries;
+    SpSubsetCount linked; /* how many of its nodes are to be linked */
+    int64_t used_at;      /* time of the last request to it; 0: never */
 } Service;
 
 typedef struct RelayCounters {
@@ -165,7 +170,8 @@
     GHashTable *services; /* name to Service */
     Links *links;
     Store *store;
-    uint64_t incarnation; /* random, to tell apart processes of one name */
+    SpDirectory *directory;
+    uint64_t incarnation; /* wall clock at the start, in microseconds */
     uint64_t rand;
     int64_t started;
     int64_t stopping_since; /* start of the graceful stop; 0: not stopping */
@@ -214,7 +220,9 @@
 
 /* link.c, peers.c, remote.c */
 int open_links(Relay *n, GError **err);
-void add_peer(Relay *n, const char *addr);
+/* use_service records a request to a service; links to more of its instances
+   are opened if there was none lately. */
+void use_service(Service *s, Relay *n, int64_t now);
 /* send_remote_call returns the number of the call on its link; 0 if the link
    is down or has too many unsent bytes. */
 uint64_t send_remote_call(Peer *p, Call *c, const JobOpts *o);
@@ -228,13 +236,23 @@
    in the store and whose names sort before that of this node. */
 int count_followers(const Relay *n);
 
+/* print_links appends the counters of the links to s. */
+void print_links(const Relay *n, GString *s);
+
+/* gossip.c */
+/* add_member enters a node that the store lists or another node names. */
+void add_member(Relay *n, const SpNodeInfo *m, int from_store);
+
 /* monitor.c */
 int listen_metrics(Relay *n, GError **err);
 
 /* store.c */
 int open_store(Relay *n, GError **err);
 void tick_store(Relay *n, int64_t now);
-/* follows_store: 1 while this node itself reads the configuration. */
+/* follows_store: 1 while this node itself reads the configuration, or is about
+   to. */
 int follows_store(const Relay *n);
+/* print_store appends the counters of the calls to the store to s. */
+void print_store(const Relay *n, GString *s);
 
 #endif
--- a/relay/remote.c
+++ b/relay/remote.c
@@ -43,7 +43,7 @@
     FrameOut f;
 
     g_hash_table_remove(conn->jobs, &j->seq);
-    begin_frame(&f, conn->out, FRAME_ANSWER, 12);
+    begin_link_frame(&f, conn, FRAME_ANSWER, 12);
     put_uint(&f, j->seq);
     put_uint(&f, r->kind);
     put_uint(&f, r->outcome);
@@ -69,6 +69,7 @@
     uint64_t *key;
     Job *j;
 
+    mark_used(conn, SpHttp_Now());
     o.seq = get_uint(f);
     get_str(f, id, sizeof id);
     get_str(f, service, sizeof service);
@@ -159,7 +160,8 @@
     key = g_new(uint64_t, 1);
     *key = ++p->seq;
     g_hash_table_insert(p->calls, key, c);
-    begin_frame(&f, conn->out, FRAME_CALL, 12);
+    mark_used(conn, SpHttp_Now());
+    begin_link_frame(&f, conn, FRAME_CALL, 12);
     put_uint(&f, *key);
     put_str(&f, o->id);
     put_str(&f, o->service);
@@ -184,7 +186,7 @@
     if (!g_hash_table_remove(p->calls, &seq) || !p->conn) {
         return;
     }
-    begin_frame(&f, p->conn->out, FRAME_CANCEL, 1);
+    begin_link_frame(&f, p->conn, FRAME_CANCEL, 1);
     put_uint(&f, seq);
     end_frame(&f);
 }
--- a/relay/settings.c
+++ b/relay/settings.c
@@ -17,6 +17,10 @@
     {                                                                         \
 #m, SpRead_Real, OFF(m), 0, lo, hi, 0, NULL                           \
     }
+#define BOOL(m)                                                               \
+    {                                                                         \
+#m, SpRead_Bool, OFF(m), 0, 0, 0, 0, NULL                             \
+    }
 
 static const SpField fields[] = {NAME(name, 1),
                                  NAME(zone, 1),
@@ -37,6 +41,7 @@
                                  REAL(retry_slack, 0, 10000),
                                  REAL(retry_window_s, 1, 600),
                                  NAME(log_level, 0),
+                                 BOOL(first_start),
                                  {NULL, NULL, 0, 0, 0, 0, 0, NULL}};
 
 int
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -157,8 +157,8 @@
 {
     double ratio = n->settings.retry_ratio *
                    (n->parents_known ? KNOWN_RATIO_SHARE : HOP_RATIO_SHARE);
-    double slack =
-        n->settings.retry_slack * SLACK_SHARE / (count_links(n) + 1);
+    double slack = n->settings.retry_slack * SLACK_SHARE /
+                   MAX(1, SpDirectory_Count(n->directory));
     GHashTableIter it;
     gpointer s;
 
@@ -304,6 +304,15 @@
     reload(s->data, "signal");
 }
 
+static int64_t
+wall_us(void)
+{
+    struct timespec t;
+
+    clock_gettime(CLOCK_REALTIME, &t);
+    return (int64_t)t.tv_sec * SP_SEC + t.tv_nsec / 1000;
+}
+
 static uint64_t
 random_u64(void)
 {
@@ -327,7 +336,13 @@
 init_self(Relay *n)
 {
     SpUpstream *u = &n->self;
+    SpNodeInfo m = {.started_us = n->incarnation};
 
+    g_strlcpy(m.name, n->settings.name, sizeof m.name);
+    g_strlcpy(m.addr, n->settings.link, sizeof m.addr);
+    g_strlcpy(m.zone, n->settings.zone, sizeof m.zone);
+    g_strlcpy(m.service, n->settings.service, sizeof m.service);
+    SpDirectory_Put(n->directory, &m, n->started);
     g_strlcpy(u->name, n->settings.name, sizeof u->name);
     u->same_zone = 1;
     g_ptr_array_add(service_of(n, n->settings.service)->upstreams, u);
@@ -343,7 +358,8 @@
                      .body_bytes = 64 << 20};
 
     n->started = n->last_tick = SpHttp_Now();
-    n->incarnation = random_u64();
+    n->incarnation = (uint64_t)wall_us();
+    n->directory = SpDirectory_New();
     n->rand = random_u64();
     n->services = g_hash_table_new(g_str_hash, g_str_equal);
     n->metrics = Metrics_New();
@@ -374,15 +390,6 @@
     return 1;
 }
 
-static int64_t
-wall_us(void)
-{
-    struct timespec t;
-
-    clock_gettime(CLOCK_REALTIME, &t);
-    return (int64_t)t.tv_sec * SP_SEC + t.tv_nsec / 1000;
-}
-
 static const SpAdapter *
 find_adapter(const char *name)
 {
--- a/relay/state.c
+++ b/relay/state.c
@@ -7,6 +7,22 @@
    asked for the configuration. */
 #define CONFIG_TIMEOUT_US (300 * SP_MS)
 
+/* The state is encoded again after this time at the earliest, unless a change
+   is broadcast. */
+#define STATE_MIN_US (100 * SP_MS)
+/* Time for which a node waits for a node of its zone to report a version that
+   another zone has reported. */
+#define ZONE_WAIT_US (200 * SP_MS)
+
+/* Fields of FRAME_STATE. */
+#define LOAD_ARGS (7 + SP_MAX_RANKS)
+
+static uint64_t
+config_version(const Relay *n)
+{
+    return n->routes ? n->routes->version : 0;
+}
+
 static void
 put_load(FrameOut *f, const Relay *n)
 {
@@ -22,79 +38,166 @@
     }
     put_real(f, l.demand.capacity);
     put_uint(f, (uint64_t)l.follows);
-    put_uint(f, n->routes ? n->routes->version : 0);
+    put_uint(f, config_version(n));
 }
 
-#define LOAD_ARGS (7 + SP_MAX_RANKS)
+/* Encodes the state once for all links; a new number shows that it differs
+   from the one before. */
+static void
+update_state(Relay *n, int64_t now)
+{
+    Links *ls = n->links;
+    GByteArray *state = g_byte_array_new();
+    FrameOut f;
+
+    begin_fields(&f, state);
+    put_load(&f, n);
+    if (state->len != ls->state->len ||
+        memcmp(state->data, ls->state->data, state->len) != 0) {
+        ls->state_number++;
+    }
+    g_byte_array_unref(ls->state);
+    ls->state = state;
+    ls->state_at = now;
+}
 
 static void
 send_empty(LinkConn *conn, FrameType type)
 {
     FrameOut f;
 
-    begin_frame(&f, conn->out, type, 0);
+    begin_link_frame(&f, conn, type, 0);
     end_frame(&f);
 }
 
-/* State is sent to the side that opened the link. That side sends keep-alives
-   only; its own state goes over the link that its peer has opened. */
+static void
+send_alive(LinkConn *conn)
+{
+    FrameOut f;
+
+    begin_link_frame(&f, conn, FRAME_ALIVE, 1);
+    put_uint(&f, config_version(conn->n));
+    end_frame(&f);
+}
+
+/* State is sent to the side that opened the link, if it has changed. That side
+   sends keep-alives only. */
 void
 send_state(LinkConn *conn)
 {
+    Links *ls = conn->n->links;
+    int64_t now = SpHttp_Now();
     FrameOut f;
 
-    if (conn->peer) {
-        send_empty(conn, FRAME_ALIVE);
-        conn->state_sent_at = SpHttp_Now();
+    conn->state_sent_at = now;
+    if (now - ls->state_at >= STATE_MIN_US) {
+        update_state(conn->n, now);
+    }
+    if (conn->peer || conn->sent_state == ls->state_number) {
+        send_alive(conn);
         return;
     }
-    begin_frame(&f, conn->out, FRAME_STATE, LOAD_ARGS);
-    put_load(&f, conn->n);
+    conn->sent_state = ls->state_number;
+    begin_link_frame(&f, conn, FRAME_STATE, LOAD_ARGS);
+    put_fields(&f, ls->state);
     end_frame(&f);
-    conn->state_sent_at = SpHttp_Now();
+}
+
+void
+broadcast_state(Relay *n)
+{
+    guint i;
+
+    update_state(n, SpHttp_Now());
+    for (i = 0; i < n->links->conns->len; i++) {
+        LinkConn *conn = g_ptr_array_index(n->links->conns, i);
+        if (conn->connected) {
+            send_state(conn);
+        }
+    }
+    flush_links(n);
 }
 
 void
 send_hello(LinkConn *conn)
 {
     Relay *n = conn->n;
-    GHashTableIter it;
-    gpointer addr;
     FrameOut f;
 
-    begin_frame(&f, conn->out, FRAME_HELLO, 5 + LOAD_ARGS + 1);
+    begin_link_frame(&f, conn, FRAME_HELLO, 5 + LOAD_ARGS + 2);
     put_str(&f, n->settings.name);
     put_str(&f, n->settings.link);
     put_str(&f, n->settings.zone);
     put_str(&f, n->settings.service);
     put_uint(&f, n->incarnation);
     put_load(&f, n);
-    put_array(&f, g_hash_table_size(n->links->peers));
-    g_hash_table_iter_init(&it, n->links->peers);
-    while (g_hash_table_iter_next(&it, &addr, NULL)) {
-        put_str(&f, addr);
-    }
+    put_uint(&f, SpDirectory_Count(n->directory));
+    put_uint(&f, SpDirectory_Digest(n->directory));
     end_frame(&f);
     conn->state_sent_at = SpHttp_Now();
 }
 
+/*
+ * Configuration.
+ */
+
+/* Requests the configuration of a version that the other side of the link has;
+   another link is asked if it does not answer in time. */
 static void
-request_config(LinkConn *conn, uint64_t version)
+request_config(LinkConn *conn, int64_t now)
 {
-    Relay *n = conn->n;
-    Links *ls = n->links;
-    int64_t now = SpHttp_Now();
+    Links *ls = conn->n->links;
 
-    if (version <= (n->routes ? n->routes->version : 0) || !conn->peer ||
-        (version <= ls->requested &&
-         now - ls->requested_at < CONFIG_TIMEOUT_US)) {
+    if (conn->version <= ls->requested &&
+        now - ls->requested_at < CONFIG_TIMEOUT_US) {
         return;
     }
-    ls->requested = version;
+    ls->requested = conn->version;
     ls->requested_at = now;
     send_empty(conn, FRAME_GET_CONFIG);
 }
 
+static void
+note_version(LinkConn *conn, uint64_t version)
+{
+    Links *ls = conn->n->links;
+
+    if (version != conn->version) {
+        conn->version = version;
+        conn->version_at = SpHttp_Now();
+    }
+    ls->newest = MAX(ls->newest, version);
+    if (conn->same_zone && version > config_version(conn->n)) {
+        request_config(conn, conn->version_at);
+    }
+}
+
+/* A version that no node of this zone has is requested from another zone: the
+   text would otherwise cross zones once for each node. A node that has no
+   configuration does not wait. */
+void
+tick_config_requests(Relay *n, int64_t now)
+{
+    uint64_t version = config_version(n);
+    guint i;
+
+    if (n->links->newest <= version) {
+        return;
+    }
+    for (i = 0; i < n->links->conns->len; i++) {
+        LinkConn *conn = g_ptr_array_index(n->links->conns, i);
+        if (conn->connected && conn->version > version &&
+            (conn->same_zone || !version ||
+             now - conn->version_at > ZONE_WAIT_US)) {
+            request_config(conn, now);
+        }
+    }
+}
+
+/*
+ * Received state.
+ */
+
 static void
 read_load(LinkConn *conn, FrameIn *f)
 {
@@ -113,7 +216,11 @@
     l.demand.capacity = get_real(f);
     l.follows = get_uint(f) != 0;
     version = get_uint(f);
-    if (f->bad || !conn->peer) {
+    if (f->bad) {
+        return;
+    }
+    note_version(conn, version);
+    if (!conn->peer) {
         return;
     }
     conn->peer->follows = l.follows;
@@ -124,44 +231,83 @@
     u->run_us = l.run_us;
     u->demand = l.demand;
     u->in_flight_reported = u->in_flight;
-    request_config(conn, version);
+}
+
+/* The node at the address of the link, which may have replaced another. */
+static void
+identify_peer(Peer *p, const SpNodeInfo *m)
+{
+    SpNodeInfo *known = SpDirectory_Get(p->n->directory, m->name);
+
+    g_strlcpy(p->name, m->name, sizeof p->name);
+    g_strlcpy(p->upstream.name, m->name, sizeof p->upstream.name);
+    g_strlcpy(p->zone, m->zone, sizeof p->zone);
+    p->upstream.same_zone = p->conn->same_zone;
+    p->incarnation = m->started_us;
+    p->upstream.fails = 0;
+    p->upstream.avoid_until = 0;
+    p->backoff_us = SP_BACKOFF_MIN_US;
+    set_peer_service(p, m->service);
+    if (known && known->unreachable) {
+        known->unreachable = 0;
+        p->n->links->refresh = 1;
+    }
+    SpLog(SP_LOG_INFO, "link-up",
+          "peer=%s addr=%s zone=%s service=%s started_us=%" PRIu64, p->name,
+          p->addr, p->zone, p->service, p->incarnation);
+}
+
+/* A node that knows far fewer members than the other side, after a start
+   without the store, asks for them at once. */
+static void
+compare_members(LinkConn *conn, FrameIn *f)
+{
+    uint64_t count = get_uint(f), digest = get_uint(f);
+    const SpDirectory *dir = conn->n->directory;
+
+    if (!f->bad && count > 2 * (uint64_t)SpDirectory_Count(dir) &&
+        digest != SpDirectory_Digest(dir)) {
+        send_digest(conn);
+    }
 }
 
 int
 handle_hello(LinkConn *conn, FrameIn *f)
 {
-    char addr[SP_ADDR_BYTES], zone[SP_FLOW_NAME], service[SP_FLOW_NAME];
-    uint64_t incarnation;
-    Peer *p = conn->peer;
+    Relay *n = conn->n;
+    SpNodeInfo m = {0};
 
-    get_str(f, conn->name, sizeof conn->name);
-    get_str(f, addr, sizeof addr);
-    get_str(f, zone, sizeof zone);
-    get_str(f, service, sizeof service);
-    incarnation = get_uint(f);
-    if (f->bad) {
+    get_str(f, m.name, sizeof m.name);
+    get_str(f, m.addr, sizeof m.addr);
+    get_str(f, m.zone, sizeof m.zone);
+    get_str(f, m.service, sizeof m.service);
+    m.started_us = get_uint(f);
+    if (f->bad || !m.name[0] || !m.service[0]) {
         return 0;
     }
-    if (!p) {
-        send_hello(conn);
-        on_peer_connected(conn->n, addr);
+    g_strlcpy(conn->name, m.name, sizeof conn->name);
+    conn->same_zone = strcmp(m.zone, n->settings.zone) == 0;
+    add_member(n, &m, 0);
+    if (conn->peer) {
+        identify_peer(conn->peer, &m);
     }
     else {
-        g_strlcpy(p->name, conn->name, sizeof p->name);
-        g_strlcpy(p->upstream.name, conn->name, sizeof p->upstream.name);
-        g_strlcpy(p->zone, zone, sizeof p->zone);
-        p->upstream.same_zone = strcmp(zone, conn->n->settings.zone) == 0;
-        p->incarnation = incarnation;
-        p->upstream.fails = 0;
-        p->upstream.avoid_until = 0;
-        p->backoff_us = SP_BACKOFF_MIN_US;
-        set_peer_service(p, service);
-        SpLog(SP_LOG_INFO, "link-up",
-              "peer=%s addr=%s zone=%s service=%s lifetime=%" PRIx64, p->name,
-              p->addr, zone, service, incarnation);
+        send_hello(conn);
+        retry_peer(n, m.addr, SpHttp_Now());
     }
     read_load(conn, f);
-    add_peers(conn->n, f);
+    compare_members(conn, f);
+    return !f->bad;
+}
+
+int
+handle_alive(LinkConn *conn, FrameIn *f)
+{
+    uint64_t version = get_uint(f);
+
+    if (!f->bad) {
+        note_version(conn, version);
+    }
     return !f->bad;
 }
 
@@ -183,7 +329,7 @@
     FrameOut f;
 
     if (conn->n->routes) {
-        begin_frame(&f, conn->out, FRAME_CONFIG, 1);
+        begin_link_frame(&f, conn, FRAME_CONFIG, 1);
         put_bin(&f, conn->n->routes->text, conn->n->routes->text_len);
         end_frame(&f);
     }
--- a/relay/store.c
+++ b/relay/store.c
@@ -1,12 +1,14 @@
 /*
- * Client of the platform's store, which holds the configuration and the
- * addresses of the nodes. There are two tasks, each with at most one call in
- * progress. The nodes task registers the address of this node and lists the
- * others. The configuration task reads the configuration once at start; after
- * that, only a few nodes of each zone follow it in the store. A node becomes a
- * follower when it knows of fewer than FOLLOWERS followers in its zone whose
- * names sort before its own.
+ * Client of the platform's store, which holds the configuration and a record
+ * of each node. There are two tasks, each with at most one call in progress.
+ * The nodes task lists the nodes and registers this one if its record differs.
+ * The configuration task follows the configuration on a few nodes of each
+ * zone; the others get it from their peers, also after a restart. A node
+ * becomes a follower when it knows of fewer than FOLLOWERS followers in its
+ * zone whose names sort before its own, or has had no configuration for
+ * NO_CONFIG_US.
  */
+#include <jansson.h>
 #include <string.h>
 
 #include "relay/relay.h"
@@ -19,6 +21,19 @@
 /* Time after the start of a node to learn of the others before it decides
    whether to follow. */
 #define FOLLOW_DELAY_US (1 * SP_SEC)
+/* Time after a restart for the peers to send the configuration. */
+#define PEERS_DELAY_US (300 * SP_MS)
+/* Time after the start without a configuration until a node asks the store
+   itself, although others follow it. */
+#define NO_CONFIG_US (2 * SP_SEC)
+/* When all nodes start together, one in LIST_ONE_IN reads the list, this long
+   after its registration so that the others have registered; it links to nodes
+   of each service, which learn of the others from it. A node that nobody has
+   linked in time reads the list itself. */
+#define LIST_ONE_IN 8
+#define LIST_DELAY_US (500 * SP_MS)
+#define LIST_FALLBACK_US (1500 * SP_MS)
+#define LIST_SPREAD_US (500 * SP_MS)
 #define BACKOFF_MIN_US (200 * SP_MS)
 #define BACKOFF_MAX_US (2 * SP_SEC)
 /* Interval at which a node without links lists the others again. */
@@ -28,6 +43,18 @@
 typedef enum { STEP_REGISTER, STEP_LIST, STEP_IDLE } NodesStep;
 typedef enum { STEP_NEWEST, STEP_FOLLOW, STEP_FROM_PEERS } ConfigStep;
 
+/* Reasons for the calls to the store. */
+typedef enum {
+    CALL_REGISTER,
+    CALL_LIST,
+    CALL_NEWEST,
+    CALL_FOLLOW,
+    NCALLS
+} CallReason;
+
+static const char *const call_names[NCALLS] = {"register", "list", "newest",
+                                               "follow"};
+
 /* A sequence of calls, one at a time, with a backoff after a failure. */
 typedef struct Task {
     Store *s;
@@ -49,6 +76,9 @@
     Relay *n;
     SpPool *pool;
     Task nodes, config;
+    int registered;    /* 1: the store has the record of this node */
+    int may_skip_list; /* 1: the next list is not read if there are links */
+    uint64_t calls[NCALLS], failed;
 };
 
 static void
@@ -80,6 +110,7 @@
 
     t->x = NULL;
     if (end != SP_POOL_OK || !t->handle(t, m)) {
+        t->s->failed++;
         set_failing(t, 1, end == SP_POOL_OK ? "answer" : why,
                     m ? m->status : 0);
         back_off(t);
@@ -90,11 +121,12 @@
 }
 
 static void
-send_call(Task *t, const GString *s, int64_t timeout_us)
+send_call(Task *t, CallReason why, const GString *s, int64_t timeout_us)
 {
     SpPoolRequest o = {
         .head = s->str, .head_len = s->len, .done = on_answer, .data = t};
 
+    t->s->calls[why]++;
     t->deadline = SpHttp_Now() + timeout_us;
     t->x = SpPool_Send(t->s->pool, &o);
 }
@@ -106,6 +138,7 @@
         if (now > t->deadline) {
             SpExchange_Abort(t->x);
             t->x = NULL;
+            t->s->failed++;
             set_failing(t, 1, "timeout", 0);
             back_off(t);
         }
@@ -120,45 +153,98 @@
  * Nodes: registration and list.
  */
 
+/* The record of this node; the caller frees it. */
+static char *
+write_node_record(const Relay *n)
+{
+    const SpRelaySettings *st = &n->settings;
+    json_t *o = json_pack("{s:s,s:s,s:s}", "addr", st->link, "zone", st->zone,
+                          "service", st->service);
+    char *text = json_dumps(o, JSON_COMPACT);
+
+    json_decref(o);
+    return text;
+}
+
+static int
+copy_text(char *to, size_t size, const json_t *o, const char *key)
+{
+    const char *text = json_string_value(json_object_get(o, key));
+
+    return text && *text && g_strlcpy(to, text, size) < size;
+}
+
+/* Returns 0 if the record describes no node. */
+static int
+read_node_record(const SpRecord *r, SpNodeInfo *m)
+{
+    json_t *o = r->value ? json_loadb(r->value, r->value_len, 0, NULL) : NULL;
+    int ok;
+
+    memset(m, 0, sizeof *m);
+    ok = r->key && *r->key &&
+         g_strlcpy(m->name, r->key, sizeof m->name) < sizeof m->name &&
+         copy_text(m->addr, sizeof m->addr, o, "addr") &&
+         copy_text(m->zone, sizeof m->zone, o, "zone") &&
+         copy_text(m->service, sizeof m->service, o, "service");
+    json_decref(o);
+    return ok;
+}
+
 static void
 start_nodes(Task *t)
 {
     Relay *n = t->s->n;
     const SpAdapter *ad = n->adapter;
-    GString *s = g_string_sized_new(512);
+    GString *s;
+    char *record;
 
-    if (t->step == STEP_IDLE) {
+    if (t->step == STEP_IDLE || t->s->may_skip_list) {
+        t->s->may_skip_list = 0;
+        t->step = STEP_LIST;
         if (count_links(n) > 0) {
+            t->step = STEP_IDLE;
             t->next_at = SpHttp_Now() + RELIST_US;
-            g_string_free(s, TRUE);
             return;
         }
-        t->step = STEP_LIST;
     }
+    s = g_string_sized_new(512);
     if (t->step == STEP_REGISTER) {
+        record = write_node_record(n);
         ad->write_append(s, n->settings.store, SP_STREAM_NODES,
-                         n->settings.name, n->settings.link);
+                         n->settings.name, record);
+        free(record);
+        send_call(t, CALL_REGISTER, s, CALL_TIMEOUT_US);
     }
     else {
         ad->write_newest(s, n->settings.store, SP_STREAM_NODES, t->after);
+        send_call(t, CALL_LIST, s, CALL_TIMEOUT_US);
     }
-    send_call(t, s, CALL_TIMEOUT_US);
     g_string_free(s, TRUE);
 }
 
+static int
+is_own_record(const Relay *n, const SpNodeInfo *m)
+{
+    const SpRelaySettings *st = &n->settings;
+
+    return strcmp(m->name, st->name) == 0 && strcmp(m->addr, st->link) == 0 &&
+           strcmp(m->zone, st->zone) == 0 &&
+           strcmp(m->service, st->service) == 0;
+}
+
 static void
-add_listed_peers(Relay *n, const SpRecords *rs)
+add_listed_members(Store *s, const SpRecords *rs)
 {
-    char addr[SP_ADDR_BYTES];
+    SpNodeInfo m;
     guint i;
 
     for (i = 0; i < rs->list->len; i++) {
-        const SpRecord *r = &g_array_index(rs->list, SpRecord, i);
-        if (r->value && r->value_len < sizeof addr) {
-            memcpy(addr, r->value, r->value_len);
-            addr[r->value_len] = '\0';
-            add_peer(n, addr);
+        if (!read_node_record(&g_array_index(rs->list, SpRecord, i), &m)) {
+            continue; /* of another version of the program */
         }
+        s->registered |= is_own_record(s->n, &m);
+        add_member(s->n, &m, 1);
     }
 }
 
@@ -182,9 +268,31 @@
     }
 }
 
+static void
+after_registration(Task *t)
+{
+    Relay *n = t->s->n;
+    Store *s = t->s;
+    int64_t delay = LIST_DELAY_US;
+
+    s->registered = 1;
+    t->step = STEP_IDLE;
+    if (!n->settings.first_start && SpDirectory_Count(n->directory) > 1) {
+        return;
+    }
+    if (n->settings.first_start && SpRand(&n->rand) % LIST_ONE_IN != 0) {
+        s->may_skip_list = 1;
+        delay =
+            LIST_FALLBACK_US + (int64_t)(SpRand(&n->rand) % LIST_SPREAD_US);
+    }
+    t->step = STEP_LIST;
+    t->next_at = SpHttp_Now() + delay;
+}
+
 static int
 handle_nodes(Task *t, const SpMsg *m)
 {
+    Store *s = t->s;
     SpRecords rs = {0};
     int ok;
 
@@ -192,17 +300,17 @@
         if (m->status != 200) {
             return 0;
         }
-        t->step = STEP_LIST;
+        after_registration(t);
         return 1;
     }
-    ok = t->s->n->adapter->read_newest(m, &rs);
+    ok = s->n->adapter->read_newest(m, &rs);
     if (ok) {
-        add_listed_peers(t->s->n, &rs);
+        add_listed_members(s, &rs);
         note_last_key(t, &rs);
-        if (!t->after[0]) {
-            t->step = STEP_IDLE;
-            t->next_at = SpHttp_Now() + RELIST_US;
-        }
+    }
+    if (ok && !t->after[0]) {
+        t->step = s->registered ? STEP_IDLE : STEP_REGISTER;
+        t->next_at = s->registered ? SpHttp_Now() + RELIST_US : 0;
     }
     free_records(&rs);
     return ok;
@@ -217,7 +325,14 @@
 {
     const Task *t = n->store ? &n->store->config : NULL;
 
-    return t && t->step == STEP_FOLLOW && !t->failing;
+    return t && t->step != STEP_FROM_PEERS && !t->failing;
+}
+
+static int
+is_follower_needed(const Relay *n, int64_t now)
+{
+    return count_followers(n) < FOLLOWERS ||
+           (!n->routes && now - n->started > NO_CONFIG_US);
 }
 
 /* Stops following if there are enough followers; starts again with the newest
@@ -228,11 +343,11 @@
     const Relay *n = t->s->n;
     int needed;
 
-    if (t->step == STEP_NEWEST || now - n->started < FOLLOW_DELAY_US) {
+    if (now - n->started < FOLLOW_DELAY_US) {
         return;
     }
-    needed = count_followers(n) < FOLLOWERS;
-    if (needed == (t->step == STEP_FOLLOW)) {
+    needed = is_follower_needed(n, now);
+    if (needed == (t->step != STEP_FROM_PEERS)) {
         return;
     }
     if (t->x) {
@@ -249,17 +364,22 @@
 start_config(Task *t)
 {
     Relay *n = t->s->n;
-    GString *s = g_string_sized_new(512);
+    GString *s;
 
+    if (n->routes && SpHttp_Now() - n->started < FOLLOW_DELAY_US) {
+        t->next_at = n->started + FOLLOW_DELAY_US;
+        return;
+    }
+    s = g_string_sized_new(512);
     if (t->step == STEP_NEWEST) {
         n->adapter->write_newest(s, n->settings.store, SP_STREAM_CONFIG,
                                  t->after);
-        send_call(t, s, CALL_TIMEOUT_US);
+        send_call(t, CALL_NEWEST, s, CALL_TIMEOUT_US);
     }
     else if (t->step == STEP_FOLLOW) {
         n->adapter->write_read(s, n->settings.store, SP_STREAM_CONFIG,
                                t->offset, LONG_READ_MS);
-        send_call(t, s, LONG_READ_MS * SP_MS + CALL_TIMEOUT_US);
+        send_call(t, CALL_FOLLOW, s, LONG_READ_MS * SP_MS + CALL_TIMEOUT_US);
     }
     g_string_free(s, TRUE);
 }
@@ -302,7 +422,6 @@
     if (ok && !t->after[0]) {
         t->offset = rs.end;
         t->step = STEP_FOLLOW;
-        t->next_at = MAX(t->next_at, t->s->n->started + FOLLOW_DELAY_US);
     }
     if (!ok) {
         /* the history at this offset was trimmed or the answer is unusable:
@@ -343,6 +462,10 @@
     s->pool = SpPool_New(n->loop, &o);
     init_task(s, &s->nodes, "nodes", start_nodes, handle_nodes);
     init_task(s, &s->config, "config", start_config, handle_config_records);
+    s->nodes.step = n->settings.first_start ? STEP_REGISTER : STEP_LIST;
+    s->config.next_at =
+        n->started +
+        (n->settings.first_start ? FOLLOW_DELAY_US : PEERS_DELAY_US);
     n->store = s;
     return 1;
 }
@@ -355,3 +478,17 @@
     tick_task(&n->store->config, now);
     SpPool_Tick(n->store->pool, now);
 }
+
+void
+print_store(const Relay *n, GString *s)
+{
+    int i;
+
+    for (i = 0; i < NCALLS; i++) {
+        g_string_append_printf(
+            s, "sp_store_calls_total{reason=\"%s\"} %" PRIu64 "\n",
+            call_names[i], n->store->calls[i]);
+    }
+    g_string_append_printf(s, "sp_store_calls_failed_total %" PRIu64 "\n",
+                           n->store->failed);
+}
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -33,22 +33,28 @@
     shift 4
     ip=$(ip_of "$name")
     run "inst-$name" "$OUT/spinst" -l "$ip:7406" -i "$id" -s "$service" \
-        -z z1 -c "$ip:7403" -n 8 -b "$start" "$@"
+        -z "${ZONE:-z1}" -c "$ip:7403" -n 8 -b "$start" "$@"
 }
 
-node() { # NAME SERVICE [OPTIONS]: starts a relay and its instance
+lay_out() { # NAME SERVICE: writes the settings of a node
     local ip name=$1 service=$2
-    shift 2
     N=$((N + 1))
     ip=$NET.$N
     echo "$name $ip" >>"$DIR/layout"
     cat >"$DIR/$name.json" <<END
-{"name": "$name", "zone": "z1", "service": "$service", "interface": "platform",
+{"name": "$name", "zone": "${ZONE:-z1}", "service": "$service", "interface": "platform",
  "instance": "$ip:7406", "outbound": "$ip:7401", "reports": "$ip:7403",
  "ready": "$ip:7404", "link": "$ip:7405", "metrics": "$ip:7407",
  "store": "$STORE", "report_s": ${REPORT_S:-0.2}, "drain_s": 2, "stop_s": 4,
- "retry_ratio": 0.2, "retry_slack": 400, "retry_window_s": 10}
+ "retry_ratio": 0.2, "retry_slack": 400, "retry_window_s": 10,
+ "first_start": ${FIRST_START:-false}}
 END
+}
+
+node() { # NAME SERVICE [OPTIONS]: starts a relay and its instance
+    local name=$1 service=$2
+    shift 2
+    lay_out "$name" "$service"
     relay "$name"
     instance "$name" "$service" "i-$name" 1000 "$@"
 }
@@ -114,6 +120,12 @@
 code() { send "$@" | status_of; }
 ready() { printf 'GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n' |
     raw "$(ip_of "$1"):7404" | status_of; }
+metric() { # NODE NAME: its value, or the sum over its labels
+    printf 'GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n' |
+        raw "$(ip_of "$1"):7407" | tr -d '\r' |
+        awk -v name="$2" '{sub(/{.*}/, "", $1)}
+            $1 == name {sum += $2} END {print sum + 0}'
+}
 runs() { cat "$DIR"/inst-*.out | grep -c "^run id=$1 "; }
 served() { [ "$(code "$@")" = 200 ]; }
 is_up() { [ -n "$(ready "$1")" ]; }
--- a/test/test.h
+++ b/test/test.h
@@ -11,6 +11,9 @@
 /* flow.c */
 extern const Unit flow_units[];
 
+/* directory.c */
+extern const Unit directory_units[];
+
 /* unit.c: runs the CUnit tests; returns the exit status */
 int run_units(void);
 /* script.c: runs a scenario file; returns the exit status */
