Bodies share a bounded memory; answers without end; slow uploads

Cause: a body without end grew to 64 MB (128 MB of buffer) for each run, so eight at a time took a relay to 352 MB. And the time-out of a header also covered the body: a body that took longer than 1 s in the test got 408.

Change: bodies of requests and answers take their memory from one limit, a quarter of memory_mb (new setting); a body that finds no room ends its answer with why=no-memory-for-body, or gets its request 503 before anything was passed on. Once the head is there, a request may be slow as long as bytes come within the idle time.

--- a/http/http.h
+++ b/http/http.h
@@ -17,6 +17,16 @@
 
 #include "base/base.h"
 
+/*
+ * Memory for the bodies of messages, shared by a server and its pools. The
+ * buffer of a body grows by doubling, so a body stops growing once it is
+ * longer than what is left of the limit: a few endless ones leave room for
+ * shorter ones.
+ */
+typedef struct SpBodyMemory {
+    size_t limit, used; /* bytes */
+} SpBodyMemory;
+
 /* An HTTP request or response. Its strings are allocated from its arena. */
 typedef struct SpMsg {
     SpArena *arena;
@@ -28,6 +38,7 @@
     int nheaders;
     char *body;
     size_t body_len;
+    SpBodyMemory *memory; /* from which body was taken; NULL: no limit */
 } SpMsg;
 
 void SpMsg_Free(SpMsg *m);
@@ -43,8 +54,8 @@
 typedef struct SpHttpLimits {
     size_t header_bytes;
     size_t body_bytes;
-    int64_t header_us; /* from the first byte of a request to its last */
-    int64_t idle_us;   /* of a connection without a request */
+    int64_t header_us; /* from the first byte of a head to its last */
+    int64_t idle_us;   /* without a byte, between requests or in a body */
 } SpHttpLimits;
 
 /*
@@ -64,7 +75,10 @@
     void *ctx;
 } SpHttpHandler;
 
-SpHttpServer *SpHttpServer_New(uv_loop_t *loop, const SpHttpLimits *l);
+/* memory is shared and may be NULL: no limit. A request whose body finds no
+   room gets status 503 and is not passed on. */
+SpHttpServer *SpHttpServer_New(uv_loop_t *loop, const SpHttpLimits *l,
+                               SpBodyMemory *memory);
 void SpHttpServer_SetLimits(SpHttpServer *s, const SpHttpLimits *l);
 /* SpHttpServer_Listen listens on "IP:port"; returns 0 and sets err on failure.
  */
@@ -112,10 +126,11 @@
                            const char *error);
 
 typedef struct SpPoolOpts {
-    char addr[32];      /* "IP:port" */
-    int64_t connect_us; /* time limit of a connect */
-    int64_t idle_us;    /* time limit of an idle connection */
-    size_t body_bytes;  /* size limit of a response body */
+    char addr[32];        /* "IP:port" */
+    int64_t connect_us;   /* time limit of a connect */
+    int64_t idle_us;      /* time limit of an idle connection */
+    size_t body_bytes;    /* size limit of a response body */
+    SpBodyMemory *memory; /* shared; NULL: no limit */
 } SpPoolOpts;
 
 typedef struct SpPoolRequest {
--- a/http/pool.c
+++ b/http/pool.c
@@ -187,6 +187,13 @@
            recv(fd, &b, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+static const char *const read_errors[] = {
+    [SP_READ_OK] = "",
+    [SP_READ_INVALID] = "not-http",
+    [SP_READ_HEAD_TOO_LARGE] = "head-too-large",
+    [SP_READ_BODY_TOO_LARGE] = "body-too-large",
+    [SP_READ_NO_MEMORY] = "no-memory-for-body"};
+
 static void
 on_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf)
 {
@@ -217,7 +224,7 @@
         return;
     }
     if (c->r.state != SP_READ_OK) {
-        fail(c, "not-http");
+        fail(c, read_errors[c->r.state]);
     }
 }
 
@@ -278,6 +285,7 @@
     c->r.ctx = c;
     c->r.max_head = MAX_HEAD_BYTES;
     c->r.max_body = p->o.body_bytes;
+    c->r.memory = p->o.memory;
     c->since = SpHttp_Now();
     g_ptr_array_add(p->conns, c);
     p->opened++;
--- a/http/priv.h
+++ b/http/priv.h
@@ -12,7 +12,8 @@
     SP_READ_OK,
     SP_READ_INVALID,
     SP_READ_HEAD_TOO_LARGE,
-    SP_READ_BODY_TOO_LARGE
+    SP_READ_BODY_TOO_LARGE,
+    SP_READ_NO_MEMORY /* for the body */
 } SpReadState;
 
 /* Incremental parser of the messages of one connection. */
@@ -22,8 +23,10 @@
     GString *field, *value, *target;
     GArray *headers; /* of SpHeader */
     int has_value;
+    int head_done; /* 1: the head of msg is complete */
     int skip_body;
     size_t head_bytes, max_head, max_body;
+    SpBodyMemory *memory; /* for bodies; NULL: no limit */
     SpReadState state;
     /*
      * Called with each complete message, which it must free by SpMsg_Free;
--- a/http/reader.c
+++ b/http/reader.c
@@ -11,10 +11,26 @@
     return p->data;
 }
 
+/* The buffer of a body doubles: the capacity for n bytes is the least power of
+   two that holds them, and at least 256. */
+static size_t
+body_capacity(size_t n)
+{
+    size_t capacity = 256;
+
+    while (capacity < n) {
+        capacity *= 2;
+    }
+    return capacity;
+}
+
 void
 SpMsg_Free(SpMsg *m)
 {
     if (m) {
+        if (m->memory && m->body) {
+            m->memory->used -= body_capacity(m->body_len);
+        }
         g_free(m->body);
         SpArena_Free(m->arena);
     }
@@ -41,7 +57,9 @@
 
     r->msg = SpArena_Alloc(a, sizeof *r->msg);
     r->msg->arena = a;
+    r->msg->memory = r->memory;
     r->head_bytes = 0;
+    r->head_done = 0;
     r->has_value = 0;
     g_array_set_size(r->headers, 0);
     g_string_truncate(r->field, 0);
@@ -115,6 +133,7 @@
     SpHeader *list;
 
     finish_header(r);
+    r->head_done = 1;
     bytes = r->headers->len * sizeof(SpHeader);
     list = SpArena_Alloc(m->arena, bytes + 1);
     memcpy(list, r->headers->data, bytes);
@@ -134,17 +153,25 @@
     return r->skip_body ? 1 : 0;
 }
 
-/* The buffer of a body doubles: the capacity for n bytes is the least power of
-   two that holds them, and at least 256. */
-static size_t
-body_capacity(size_t n)
+/* Takes the memory for a body of total bytes; returns 0 if there is none. */
+static int
+grow_body(SpMsg *m, size_t total)
 {
-    size_t capacity = 256;
+    size_t held = m->body ? body_capacity(m->body_len) : 0;
+    size_t needed = body_capacity(total);
+    SpBodyMemory *memory = m->memory;
 
-    while (capacity < n) {
-        capacity *= 2;
+    if (needed == held) {
+        return 1;
     }
-    return capacity;
+    if (memory) {
+        if (memory->used + needed - held > memory->limit) {
+            return 0;
+        }
+        memory->used += needed - held;
+    }
+    m->body = g_realloc(m->body, needed);
+    return 1;
 }
 
 static int
@@ -158,8 +185,9 @@
         r->state = SP_READ_BODY_TOO_LARGE;
         return 1;
     }
-    if (!m->body || total > body_capacity(m->body_len)) {
-        m->body = g_realloc(m->body, body_capacity(total));
+    if (!grow_body(m, total)) {
+        r->state = SP_READ_NO_MEMORY;
+        return 1;
     }
     memcpy(m->body + m->body_len, s, n);
     m->body_len = total;
@@ -173,6 +201,7 @@
     SpMsg *m = r->msg;
 
     r->msg = NULL;
+    r->head_done = 0;
     if (p->type == HTTP_RESPONSE && m->status / 100 == 1) {
         SpMsg_Free(m); /* interim response; the final one follows */
         return 0;
--- a/http/server.c
+++ b/http/server.c
@@ -26,7 +26,8 @@
     Listener *l;
     SpMsgReader r;
     GQueue reqs;    /* of SpHttpReq, oldest first */
-    int64_t since;  /* start of the idle time or of the request being read */
+    int64_t since;  /* start of the idle time or of the head being read, or
+                       time of the last bytes of the body being read */
     int in_message; /* a request has been read in part */
     int closing;    /* no further request is accepted */
     int write_shut; /* the write side is shut down, or dropped is set */
@@ -47,6 +48,7 @@
 struct SpHttpServer {
     uv_loop_t *loop;
     SpHttpLimits limits;
+    SpBodyMemory *memory;
     GPtrArray *conns; /* of Conn */
     int draining;
 };
@@ -197,13 +199,13 @@
 
 /* Queues an error response to an unreadable request and closes after it. */
 static void
-reject(Conn *c, int status)
+reject(Conn *c, int status, const char *lines)
 {
     SpHttpReq *r = g_new0(SpHttpReq, 1);
 
     r->c = c;
     c->closing = 1;
-    build_response(r, status, "", "", 0, 1);
+    build_response(r, status, lines, "", 0, 1);
     g_queue_push_tail(&c->reqs, r);
 }
 
@@ -240,13 +242,16 @@
     case SP_READ_OK:
         break;
     case SP_READ_INVALID:
-        reject(c, 400);
+        reject(c, 400, "");
         break;
     case SP_READ_HEAD_TOO_LARGE:
-        reject(c, 431);
+        reject(c, 431, "");
         break;
     case SP_READ_BODY_TOO_LARGE:
-        reject(c, 413);
+        reject(c, 413, "");
+        break;
+    case SP_READ_NO_MEMORY:
+        reject(c, 503, "Retry-After: 1\r\n");
         break;
     }
 }
@@ -266,7 +271,7 @@
     if (c->closing) {
         return; /* data after the last request is discarded */
     }
-    if (!c->in_message && !c->r.msg) {
+    if ((!c->in_message && !c->r.msg) || c->r.head_done) {
         c->since = SpHttp_Now();
     }
     SpMsgReader_Feed(&c->r, buf->base, (size_t)n);
@@ -299,6 +304,7 @@
     c->r.ctx = c;
     c->r.max_head = l->s->limits.header_bytes;
     c->r.max_body = l->s->limits.body_bytes;
+    c->r.memory = l->s->memory;
     c->since = SpHttp_Now();
     g_queue_init(&c->reqs);
     g_ptr_array_add(l->s->conns, c);
@@ -311,12 +317,13 @@
 }
 
 SpHttpServer *
-SpHttpServer_New(uv_loop_t *loop, const SpHttpLimits *l)
+SpHttpServer_New(uv_loop_t *loop, const SpHttpLimits *l, SpBodyMemory *memory)
 {
     SpHttpServer *s = g_new0(SpHttpServer, 1);
 
     s->loop = loop;
     s->limits = *l;
+    s->memory = memory;
     s->conns = g_ptr_array_new();
     /* http_parser's own limit must not be lower than header_bytes */
     http_parser_set_max_header_size(1u << 30);
@@ -375,8 +382,10 @@
     if (!g_queue_is_empty(&c->reqs)) {
         return;
     }
-    if (c->in_message && now - c->since > limits->header_us) {
-        reject(c, 408);
+    if (c->in_message &&
+        now - c->since >
+            (c->r.head_done ? limits->idle_us : limits->header_us)) {
+        reject(c, 408, "");
         send_responses(c);
     }
     else if (!c->in_message && now - c->since > limits->idle_us) {
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -26,6 +26,8 @@
     put(s, "store_followed", follows_store(n));
     put(s, "client_connections", SpHttpServer_Connections(n->http));
     put(s, "ready", is_relay_ready(n));
+    put(s, "body_memory_bytes", (double)n->body_memory.used);
+    put(s, "body_memory_limit_bytes", (double)n->body_memory.limit);
     put(s, "log_lines_lost_total", (double)SpLog_Dropped());
     for (i = 0; i < SP_MAX_RANKS; i++) {
         g_string_append_printf(s, "sp_admitted_share{rank=\"%s\"} %.3f\n",
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -48,7 +48,8 @@
     double stop_s;   /* maximum duration of a graceful stop */
     double retry_ratio, retry_slack, retry_window_s;
     char log_level[16];
-    int first_start; /* 1: all nodes start for the first time, together */
+    double memory_mb; /* memory that the process may use */
+    int first_start;  /* 1: all nodes start for the first time, together */
 } SpRelaySettings;
 
 /* SpRelaySettings_Load adds problems to ps and returns 0 if there are any. */
@@ -155,9 +156,10 @@
     const SpAdapter *adapter;
     uv_loop_t *loop;
     SpHttpServer *http;
-    SpPool *pool;      /* connections to the local instance */
-    SpExchange *check; /* status check in progress */
-    int64_t check_at;  /* time-out of that check, or time of the next one */
+    SpBodyMemory body_memory; /* of http and pool */
+    SpPool *pool;             /* connections to the local instance */
+    SpExchange *check;        /* status check in progress */
+    int64_t check_at; /* time-out of that check, or time of the next one */
     SpRoutes *routes;
     Instance inst;
     SpLimiter limiter;
--- a/relay/settings.c
+++ b/relay/settings.c
@@ -41,6 +41,7 @@
                                  REAL(retry_slack, 0, 10000),
                                  REAL(retry_window_s, 1, 600),
                                  NAME(log_level, 0),
+                                 REAL(memory_mb, 16, 65536),
                                  BOOL(first_start),
                                  {NULL, NULL, 0, 0, 0, 0, 0, NULL}};
 
@@ -59,6 +60,7 @@
     s->retry_ratio = 0.1;
     s->retry_slack = 10;
     s->retry_window_s = 10;
+    s->memory_mb = 256;
     if (!j) {
         return 0;
     }
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -22,6 +22,10 @@
 /* Part of retry_slack divided among the nodes; the rest is a reserve, because
    a node that does not know all others yet takes too large a part. */
 #define SLACK_SHARE 0.5
+/* Bodies of requests and answers may take one part in this many of memory_mb:
+   a body can exist twice while it is passed on. */
+#define BODY_SHARE 4
+#define MB 1048576.0
 /* Interval of the check of the settings file for changes. */
 #define FILE_CHECK_US (2 * SP_SEC)
 /* Size of the log buffer, and limit of lines per second. */
@@ -355,7 +359,8 @@
                                         60 * SP_SEC};
     SpPoolOpts po = {.connect_us = 1 * SP_SEC,
                      .idle_us = 8 * SP_SEC,
-                     .body_bytes = 64 << 20};
+                     .body_bytes = 64 << 20,
+                     .memory = &n->body_memory};
 
     n->started = n->last_tick = SpHttp_Now();
     n->incarnation = (uint64_t)wall_us();
@@ -369,7 +374,8 @@
     n->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
     SpLimiter_Init(&n->limiter);
     SpAdmission_Init(&n->admission);
-    n->http = SpHttpServer_New(n->loop, &limits);
+    n->body_memory.limit = (size_t)(n->settings.memory_mb * MB) / BODY_SHARE;
+    n->http = SpHttpServer_New(n->loop, &limits, &n->body_memory);
     g_strlcpy(po.addr, n->settings.instance, sizeof po.addr);
     n->pool = SpPool_New(n->loop, &po);
     init_self(n);
--- a/standin/spinst.c
+++ b/standin/spinst.c
@@ -13,6 +13,8 @@
  *   /error     500, executed
  *   /other     421
  *   /early     sent before the request body is read
+ *   /endless-KIND  bytes without end, see endless_answers; /endless-KIND-slow:
+ *              one byte at a time
  *
  * GET /health returns the instance id, with status 503 while spinst drains.
  * spinst sends a heartbeat to the control address every REPORT_MS (or -r MS),
@@ -202,11 +204,101 @@
     g_free(s);
 }
 
+/*
+ * Answers without end: a start, then the same bytes again and again.
+ */
+typedef struct EndlessAnswer {
+    const char *kind, *start, *repeated;
+} EndlessAnswer;
+
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+#define CHUNKED OK_LINE "Transfer-Encoding: chunked\r\n\r\n"
+
+static const EndlessAnswer endless_answers[] = {
+    {"noise", "", "\x07noise"},
+    {"blank-lines", "", "\r\n"},
+    {"status-line", "HTTP/1.1 200 ", "x"},
+    {"header", OK_LINE "X: ", "y"},
+    {"headers", OK_LINE, "X: y\r\n"},
+    {"interim", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"others", "",
+     OK_LINE "Siskinpond-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n"},
+    {"body", OK_LINE "\r\n", "b"},
+    {"chunks", CHUNKED, "4\r\nbbbb\r\n"},
+    {"chunk-size", CHUNKED, "0"},
+    {"chunk-extension", CHUNKED "4;", "e"},
+    {"trailers", CHUNKED "0\r\n", "T: v\r\n"},
+    {"after", NULL, "z"}, /* after a complete answer */
+    {NULL, NULL, NULL}};
+
+#define ENDLESS_BLOCK_BYTES 16384
+#define ENDLESS_SLOW_MS 10
+
+static int
+send_all(int fd, const char *p, size_t n)
+{
+    ssize_t sent;
+
+    for (; n > 0; p += sent, n -= (size_t)sent) {
+        sent = send(fd, p, n, MSG_NOSIGNAL);
+        if (sent <= 0) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
+/* Sends until the peer closes the connection. */
+static void
+send_endless(int fd, const Request *r, const EndlessAnswer *e)
+{
+    int slow = ends_with(r->path, "-slow");
+    char *start =
+        e->start ? g_strdup(e->start) : format_response(r, 200, "", 1);
+    GString *block = g_string_new(NULL);
+    size_t i;
+
+    while (block->len < ENDLESS_BLOCK_BYTES) {
+        g_string_append(block, e->repeated);
+    }
+    if (send_all(fd, start, strlen(start))) {
+        for (i = 0; slow && send_all(fd, block->str + i % block->len, 1);
+             i++) {
+            sleep_ms(ENDLESS_SLOW_MS);
+        }
+        while (!slow && send_all(fd, block->str, block->len)) {
+        }
+    }
+    g_string_free(block, TRUE);
+    g_free(start);
+}
+
+static const EndlessAnswer *
+find_endless(const char *path)
+{
+    const char *kind = strstr(path, "/endless-");
+    const EndlessAnswer *e;
+    size_t n;
+
+    if (!kind) {
+        return NULL;
+    }
+    kind += strlen("/endless-");
+    n = strlen(kind) - (ends_with(kind, "-slow") ? strlen("-slow") : 0);
+    for (e = endless_answers; e->kind; e++) {
+        if (strlen(e->kind) == n && strncmp(e->kind, kind, n) == 0) {
+            return e;
+        }
+    }
+    return NULL;
+}
+
 /* Returns 0 to close the connection. */
 static int
 respond(int fd, const Request *r)
 {
     const char *slow = strstr(r->path, "/slow-");
+    const EndlessAnswer *endless = find_endless(r->path);
     char *s;
     int keep_open = 1;
 
@@ -231,6 +323,10 @@
     if (slow) {
         sleep_ms((int)strtol(slow + 6, NULL, 10));
     }
+    if (endless) {
+        send_endless(fd, r, endless);
+        return 0;
+    }
     if (ends_with(r->path, "/hang")) {
         sleep_ms(5000);
         return 0;
--- a/standin/spstore.c
+++ b/standin/spstore.c
@@ -410,7 +410,7 @@
     store.loop = uv_default_loop();
     store.topics = g_hash_table_new(g_str_hash, g_str_equal);
     store.pending_reads = g_ptr_array_new();
-    store.http = SpHttpServer_New(store.loop, &limits);
+    store.http = SpHttpServer_New(store.loop, &limits, NULL);
     if (!SpHttpServer_Listen(store.http, argv[2], &h, &err)) {
         fprintf(stderr, "spstore: %s\n", err->message);
         return 1;
--- a/test/relay.t
+++ b/test/relay.t
@@ -56,3 +56,11 @@
 echo "header too large: $(send front-1 g3 GET /safe/x "x: $(printf %05000d 0)\r\n" | status_of)"
 echo "body too large: $(send front-1 g4 POST /once/x "content-length: 200000\r\n" | status_of)"
 echo "incomplete header: $(printf 'GET /safe' | raw "$(ip_of front-1):7401" 4 | status_of)"
+slow_upload() { # ID: the body takes longer than the time-out of a header
+    printf 'POST /once/x HTTP/1.1\r\nhost: h.example\r\nSiskinpond-Attempt-Id: %s\r\nSiskinpond-Deadline-Ms: 3000\r\nconnection: close\r\ncontent-length: 6\r\n\r\nab' "$1"
+    sleep 0.7
+    printf 'cd'
+    sleep 0.7
+    printf 'ef'
+}
+echo "slow body: $(slow_upload h1 | raw "$(ip_of front-1):7401" 4 | status_of), runs $(runs h1)"
