The retry budget counts the present window only

The nodes have their best windows at different times, so the sum of the maxima is more than the maximum of the sums.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -282,9 +282,7 @@
 
 /*
  * Retry budget: bounds the retries of this node to a service by a ratio of
- * the first attempts in a sliding window: the present one, the one before it
- * or the one that began half a window ago, whichever has most, so that the
- * budget outlasts a fall of the load.
+ * the first attempts in a sliding window.
  *
  * Load pattern: the instances of the deepest service reject a part of their
  * requests, and each original request makes several calls there in series. The
@@ -302,15 +300,13 @@
     int64_t window_us;
 } SpRetryOpts;
 
-/* Buckets of a window; two windows are kept. */
 #define SP_RETRY_BUCKETS 10
-#define SP_RETRY_KEPT (2 * SP_RETRY_BUCKETS)
 
 typedef struct SpRetryBudget {
     SpRetryOpts o;
     int64_t bucket; /* number of the newest bucket */
-    uint32_t first_attempts[SP_RETRY_KEPT];
-    uint32_t retries[SP_RETRY_KEPT];
+    uint32_t first_attempts[SP_RETRY_BUCKETS];
+    uint32_t retries[SP_RETRY_BUCKETS];
     double accepted;   /* smoothed share of attempts that were not rejected */
     double max_cost;   /* of a retry */
     int64_t step_at;   /* last change of max_cost */
--- a/flow/retries.c
+++ b/flow/retries.c
@@ -37,39 +37,28 @@
     int64_t bucket = now / (b->o.window_us / SP_RETRY_BUCKETS);
 
     while (b->bucket < bucket) {
-        if (bucket - b->bucket > SP_RETRY_KEPT) {
-            b->bucket = bucket - SP_RETRY_KEPT;
+        if (bucket - b->bucket > SP_RETRY_BUCKETS) {
+            b->bucket = bucket - SP_RETRY_BUCKETS;
         }
         b->bucket++;
-        b->first_attempts[b->bucket % SP_RETRY_KEPT] = 0;
-        b->retries[b->bucket % SP_RETRY_KEPT] = 0;
+        b->first_attempts[b->bucket % SP_RETRY_BUCKETS] = 0;
+        b->retries[b->bucket % SP_RETRY_BUCKETS] = 0;
     }
-    return (int)(bucket % SP_RETRY_KEPT);
+    return (int)(bucket % SP_RETRY_BUCKETS);
 }
 
-/* Sum over the window whose newest bucket is that many buckets old. */
 static double
-sum_window(const SpRetryBudget *b, const uint32_t *counts, int age)
+sum_window(const uint32_t *counts)
 {
     double sum = 0;
     int i;
 
-    for (i = age; i < age + SP_RETRY_BUCKETS; i++) {
-        sum += counts[(b->bucket + SP_RETRY_KEPT - i) % SP_RETRY_KEPT];
+    for (i = 0; i < SP_RETRY_BUCKETS; i++) {
+        sum += counts[i];
     }
     return sum;
 }
 
-static double
-first_attempts(const SpRetryBudget *b)
-{
-    double now = sum_window(b, b->first_attempts, 0);
-    double half = sum_window(b, b->first_attempts, SP_RETRY_BUCKETS / 2);
-    double before = sum_window(b, b->first_attempts, SP_RETRY_BUCKETS);
-
-    return MAX(now, MAX(half, before));
-}
-
 void
 SpRetryBudget_CountFirst(SpRetryBudget *b, int64_t now)
 {
@@ -124,8 +113,8 @@
 SpRetryBudget_Take(SpRetryBudget *b, int64_t now, int rank, double calls_left)
 {
     int current = advance_window(b, now);
-    double retries = sum_window(b, b->retries, 0);
-    double limit = b->o.ratio * first_attempts(b) + b->o.slack;
+    double retries = sum_window(b->retries);
+    double limit = b->o.ratio * sum_window(b->first_attempts) + b->o.slack;
 
     step_cost(b, now, MAX(limit - retries, 0));
     if (retries + 1 > rank_shares[SpRank_Index(rank)] * limit) {
