--- a/test/directory.c
+++ b/test/directory.c
@@ -52,6 +52,8 @@
     SpNodeInfo a = make_node("a", "127.0.0.1:1", 5);
     SpNodeInfo b = make_node("b", "127.0.0.1:2", 5);
     SpNodeInfo restarted = make_node("a", "127.0.0.1:1", 9);
+    SpNodeInfo moved = make_node("a", "127.0.0.1:3", 9);
+    SpDirectory *z = SpDirectory_New();
 
     SpDirectory_Put(x, &a, 1);
     SpDirectory_Put(x, &b, 1);
@@ -59,6 +61,11 @@
     CU_ASSERT_NOT_EQUAL(SpDirectory_Digest(x), SpDirectory_Digest(y));
     SpDirectory_Put(y, &restarted, 1);
     CU_ASSERT_EQUAL(SpDirectory_Digest(x), SpDirectory_Digest(y));
+    SpDirectory_Put(x, &moved, 1);
+    SpDirectory_Put(z, &b, 1);
+    SpDirectory_Put(z, &moved, 1);
+    CU_ASSERT_EQUAL(SpDirectory_Digest(x), SpDirectory_Digest(z));
+    SpDirectory_Free(z);
     SpDirectory_Free(x);
     SpDirectory_Free(y);
 }
--- a/test/flow.c
+++ b/test/flow.c
@@ -617,6 +617,7 @@
     CU_ASSERT_FALSE(SpPlatform_ParseReadResponse(&m, &rs));
     SpArena_Free(rs.arena);
     g_array_free(rs.list, TRUE);
+    m.body_len += 2;
     m.status = 410; /* the records were trimmed from the log */
     CU_ASSERT_FALSE(SpPlatform_ParseReadResponse(&m, &rs));
     SpArena_Free(rs.arena);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -1,28 +1,35 @@
 #!/bin/bash
-# mutants.sh: mutation test of `sptest soak`. Each mutant is a copy of the
-# library with one deliberate fault, and the random schedules must fail on it.
-# The script fails if a mutant passes.
+# mutants.sh: mutation test. Each mutant is a copy of the sources with one
+# deliberate fault. The random schedules must fail on those of core/, the unit
+# tests or a load pattern on those of flow/, relay/, http/ and platform/. The
+# script fails if a mutant passes.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 tmp=$(mktemp -d)
 trap 'rm -rf "$tmp"' EXIT
 
-# mutant NAME FILE SED: builds and tests one mutant; SED must change the file
-mutant() {
-    local src=$tmp/$1 why
+# build_mutant NAME FILE SED: SED must change the file
+build_mutant() {
+    local src=$tmp/$1
     mkdir "$src"
-    cp -r base conf core web call test Makefile "$src"
+    cp -r base conf core web call flow relay http platform test Makefile "$src"
     sed -i -E "$3" "$src/$2"
     if cmp -s "$2" "$src/$2"; then
         echo "mutant $1: MISSED: SED changes nothing"
-        return
+        return 1
     fi
     if ! make -s -C "$src" "CFLAGS=-std=c11 -D_GNU_SOURCE -O2" \
         out/sptest >"$src/log" 2>&1; then
         echo "mutant $1: MISSED: does not build"
         cat "$src/log"
-        return
+        return 1
     fi
+}
+
+# mutant NAME FILE SED: builds a mutant and plays the random schedules
+mutant() {
+    local src=$tmp/$1 why
+    build_mutant "$@" || return
     if "$src/out/sptest" soak -n "${SCHEDULES:-1500}" >"$src/log"; then
         echo "mutant $1: MISSED"
         return
@@ -35,6 +42,61 @@
     fi
 }
 
+# unit_mutant NAME FILE SED: builds a mutant and runs the unit tests and the
+# load patterns
+unit_mutant() {
+    local src=$tmp/$1 why t
+    build_mutant "$@" || return
+    if ! "$src/out/sptest" unit >"$src/log" 2>&1; then
+        why=$(sed -n 's/^ *Test: \(.*\) \.\.\..*FAILED.*/\1/p' "$src/log" | head -1)
+        echo "mutant $1: caught: unit ${why:-test}"
+        return
+    fi
+    for t in test/*.load; do
+        if ! "$src/out/sptest" load "$t" >"$src/log" 2>&1; then
+            echo "mutant $1: caught: $t"
+            return
+        fi
+    done
+    echo "mutant $1: MISSED"
+}
+
+flow() {
+    unit_mutant retry-any-call flow/retries.c \
+        's/calls_left \* \(1/0 * (1/' &
+    unit_mutant retry-unbounded flow/retries.c \
+        's/if \(retries \+ 1 > /if (retries < 0 \&\& 1 > /' &
+    unit_mutant shares-expire flow/paths.c \
+        's/SHARES_TTL_US \(10/SHARES_TTL_US (1/' &
+    unit_mutant no-probe flow/paths.c 's/PROBE_US \(3/PROBE_US (3000/' &
+    wait
+    unit_mutant older-entry flow/directory.c \
+        's/known->started_us >= m->started_us/known->started_us > m->started_us + 100/' &
+    unit_mutant stale-digest flow/directory.c \
+        's/^    dir->digest \^= hash_entry\(m\);//' &
+    unit_mutant unreachable-counts flow/subset.c \
+        's/reachable \+= !ranked\[i\]\.m->unreachable;/reachable++;/' &
+    unit_mutant any-zone flow/subset.c \
+        's/strcmp\(list\[i\]->zone, o->zone\) != 0/0/' &
+    wait
+    unit_mutant same-subset flow/subset.c \
+        's/strlen\(list\[i\]->name\), self\)/strlen(list[i]->name), 0 * self)/' &
+    unit_mutant demand-of-subset flow/subset.c \
+        's/\(double\)known \/ chosen/known * 0.0 + 1/' &
+    unit_mutant ranks-reversed flow/limiter.c \
+        's/2 \* SpRank_Index\(r->rank\)/2 * (SP_MAX_RANKS - 1 - SpRank_Index(r->rank))/' &
+    unit_mutant new-first flow/limiter.c \
+        's/r->nested \? 0 : 1/r->nested ? 1 : 0/' &
+    wait
+    unit_mutant never-late flow/limiter.c \
+        's/r->deadline - now < need/r->deadline < need - now/' &
+    unit_mutant reals-whole relay/frame.c 's/REAL_SCALE 1000/REAL_SCALE 1/' &
+    unit_mutant far-for-nothing flow/chooser.c \
+        's/return u->same_zone \? cost : cost \+ \(double\)cross_zone_us;/return cost + 0 * (double)cross_zone_us;/' &
+    unit_mutant any-status platform/store.c 's/m->status != 200 \|\| n </n </' &
+    wait
+}
+
 all() {
     mutant run-again-while-running core/run.c \
         's/case SP_KEY_RUNNING:/case SP_KEY_OTHER_REQUEST + 100:/
@@ -61,7 +123,10 @@
     wait
 }
 
-all | tee "$tmp/result"
+{
+    all
+    flow
+} | tee "$tmp/result"
 missed=$(grep -c MISSED "$tmp/result")
 echo "$(grep -c ': caught:' "$tmp/result") caught, $missed missed"
 [ "$missed" -eq 0 ]
