A restarted node waits 80 ms, not 300, for its peers' configuration

A peer that has it sends it within two ticks of the list.

No test of its own: the time is short beside the noise of a loaded machine.

--- a/relay/store.c
+++ b/relay/store.c
@@ -22,7 +22,7 @@
    whether to follow. */
 #define FOLLOW_DELAY_US (1 * SP_SEC)
 /* Time after a restart for the peers to send the configuration. */
-#define PEERS_DELAY_US (300 * SP_MS)
+#define PEERS_DELAY_US (80 * SP_MS)
 /* Time after the start without a configuration until a node asks the store
    itself, although others follow it. */
 #define NO_CONFIG_US (2 * SP_SEC)
