--- a/cmd/trace.c
+++ b/cmd/trace.c
@@ -85,6 +85,9 @@
     {"run-cut", NULL, NULL,
      "instance $instance gave no response by the deadline; aborted after $ms "
      "ms"},
+    {"run-unqueued", NULL, NULL,
+     "it had waited $ms ms at $name, where $running ran and $queued waited, "
+     "when nobody waited for it any more: it did not run"},
     {"run-dropped", NULL, NULL,
      "nobody waited for it any more: taken back from $instance after $ms ms"},
 };
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -307,6 +307,13 @@
               "id=%s route=%s instance=%s ms=%" PRId64, j->id, j->route,
               n->inst.last.id, (SpHttp_Now() - j->started) / SP_MS);
     }
+    else {
+        SpLog(SP_LOG_INFO, "run-unqueued",
+              "id=%s route=%s rank=%d ms=%" PRId64 " running=%d queued=%d",
+              j->id, j->route, j->req.rank,
+              (SpHttp_Now() - j->req.arrived) / SP_MS, n->limiter.running,
+              n->limiter.queued);
+    }
     SpLimiter_End(&n->limiter, SpHttp_Now(), &j->req, -1);
     free_job(j);
     run_next(n);
--- a/test/walks.t
+++ b/test/walks.t
@@ -71,3 +71,10 @@
 "$OUT/spctl" explain lost "$DIR/none" 2>&1 | sed "s|$DIR|DIR|"
 "$OUT/spctl" explain lost 2>&1
 echo "status $?"
+
+echo "4. timed out while it was queued"
+cat >"$DIR/queued.log" <<'END'
+at=100.500000 level=info prog=sprelay name=front-1 event=call-refused id=q1 route=short service=back kind=timeout status=504 ms=500 left_ms=0 tried=1 reached=0 rank=0 share=1.00 config=1
+at=100.501000 level=info prog=sprelay name=back-1 event=run-unqueued id=q1 route=short rank=0 ms=480 running=7 queued=1
+END
+"$OUT/spctl" explain q1 "$DIR/queued.log"
