Nodes that are gone are not chosen; names and order read better

Cause, by reading: unreachable nodes stay in the subset and count at most once for each wanted one, so a directory with more dead records than live nodes could leave a node with dead links only. A node not reached for a minute is given up until it shows itself; one that is wanted again after a while is tried anew.

--- a/flow/directory.c
+++ b/flow/directory.c
@@ -67,7 +67,7 @@
     }
     copy = g_memdup2(m, sizeof *m);
     copy->learned_at = now;
-    copy->unreachable = 0;
+    copy->unreachable = copy->gone = 0;
     g_hash_table_insert(dir->names, copy->name, copy);
     g_hash_table_insert(dir->addrs, copy->addr, copy);
     dir->digest ^= hash_entry(copy);
--- a/flow/directory.h
+++ b/flow/directory.h
@@ -22,6 +22,8 @@
                           */
     int64_t learned_at;  /* when this entry was added or replaced here */
     int unreachable;     /* 1: the last attempt to link to it failed */
+    int gone; /* 1: so did all attempts for a while: not chosen until
+                 it shows itself again */
 } SpNodeInfo;
 
 typedef struct SpDirectory SpDirectory;
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -126,7 +126,7 @@
     int64_t now = SpHttp_Now();
     SpUpstream *u;
 
-    use_service(s, c->n, now);
+    use_service(c->n, s, now);
     while (c->ntried < SP_MAX_TRIES) {
         if (c->deadline - now < MIN_LEFT_US) {
             refuse_or_fail(c, SP_LATE);
@@ -195,7 +195,8 @@
 end_attempt(Call *c, const Result *r)
 {
     SpUpstream *u = c->target;
-    int ok = r->kind == SP_OK && r->status < 500, again;
+    int ok = r->kind == SP_OK && r->status < 500;
+    int again;
 
     c->target = NULL;
     c->job = NULL;
--- a/relay/call.h
+++ b/relay/call.h
@@ -41,14 +41,15 @@
     GList node;
 };
 
-/* entry.c; the call is freed by each of these. */
-/* forward_answer sends the instance's answer to the caller. */
+/* entry.c */
+/* parent_of returns the run that made this call, or NULL. */
+Job *parent_of(const Call *c);
+/* forward_answer sends the instance's answer to the caller and frees the
+   call. */
 void forward_answer(Call *c, const Result *r);
 /* refuse_or_fail refuses a request that has not run, so that the caller may
-   retry it, and fails another. */
+   retry it, and fails another; it frees the call. */
 void refuse_or_fail(Call *c, SpKind k);
-/* parent_of returns the run that made this call, or NULL. */
-Job *parent_of(const Call *c);
 
 /* attempt.c */
 /* try_instances sends the call to an instance, and to others when one refuses
--- a/relay/link.h
+++ b/relay/link.h
@@ -55,10 +55,11 @@
     char zone[SP_FLOW_NAME];
     char service[SP_FLOW_NAME]; /* empty: not known yet */
     uint64_t incarnation;
-    int wanted;  /* 1: it is in the subset to be linked */
-    int listed;  /* 1: upstream is in the list of its service */
-    int follows; /* 1: it last reported that it follows the configuration in
-                    the store */
+    int wanted;     /* 1: it is in the subset to be linked */
+    int was_wanted; /* the same before the subset was last chosen */
+    int listed;     /* 1: upstream is in the list of its service */
+    int follows;    /* 1: it last reported that it follows the configuration in
+                       the store */
     SpUpstream upstream;
     LinkConn *conn;
     GHashTable *calls; /* seq to Call */
@@ -109,6 +110,8 @@
 /* retry_peer connects to the node at addr at the next tick, without the
    backoff: it has just shown that it is running. */
 void retry_peer(Relay *n, const char *addr, int64_t now);
+/* mark_reachable is called when the node of that name has shown itself. */
+void mark_reachable(Relay *n, const char *name);
 
 /* gossip.c; the handle functions return 0 if the frame is malformed. */
 void tick_gossip(Relay *n, int64_t now);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -88,6 +88,7 @@
 want_peer(Relay *n, const SpNodeInfo *m, int64_t now)
 {
     Peer *p = find_peer(n, m->addr);
+    int was_wanted = p && (p->was_wanted || p->wanted);
 
     if (!p) {
         p = new_peer(n, m->addr, now);
@@ -95,6 +96,9 @@
     if (!p->conn) {
         g_strlcpy(p->name, m->name, sizeof p->name);
     }
+    if (!p->conn && !was_wanted) {
+        p->seen_at = now;
+    }
     p->wanted = 1;
 }
 
@@ -140,7 +144,7 @@
     GPtrArray *list;
 
     while ((m = SpDirectory_Next(n->directory, &it)) != NULL) {
-        if (strcmp(m->name, n->settings.name) == 0) {
+        if (m->gone || strcmp(m->name, n->settings.name) == 0) {
             continue;
         }
         list = g_hash_table_lookup(groups, m->service);
@@ -169,7 +173,7 @@
     guint i, reachable = 0;
 
     while ((m = SpDirectory_Next(n->directory, &it)) != NULL) {
-        if (strcmp(m->zone, n->settings.zone) == 0 &&
+        if (!m->gone && strcmp(m->zone, n->settings.zone) == 0 &&
             strcmp(m->name, n->settings.name) != 0) {
             g_ptr_array_add(list, m);
         }
@@ -194,6 +198,7 @@
     n->links->refreshed_at = now;
     g_hash_table_iter_init(&it, n->links->peers);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
+        ((Peer *)value)->was_wanted = ((Peer *)value)->wanted;
         ((Peer *)value)->wanted = 0;
     }
     g_hash_table_iter_init(&it, groups);
@@ -210,7 +215,7 @@
 }
 
 void
-use_service(Service *s, Relay *n, int64_t now)
+use_service(Relay *n, Service *s, int64_t now)
 {
     if (!s->used_at || now - s->used_at >= SERVICE_USED_US) {
         n->links->refresh = 1;
@@ -218,6 +223,30 @@
     s->used_at = now;
 }
 
+void
+mark_reachable(Relay *n, const char *name)
+{
+    SpNodeInfo *m = SpDirectory_Get(n->directory, name);
+
+    if (m && (m->unreachable || m->gone)) {
+        m->unreachable = m->gone = 0;
+        n->links->refresh = 1;
+    }
+}
+
+/* Gives a node up that has not been reached for RECONNECT_LIMIT_US. */
+static void
+give_up(Peer *p)
+{
+    SpNodeInfo *m = SpDirectory_Get(p->n->directory, p->name);
+
+    if (m && strcmp(m->addr, p->addr) == 0 && !m->gone) {
+        m->gone = 1;
+        p->n->links->refresh = 1;
+        SpLog(SP_LOG_INFO, "peer-gone", "peer=%s addr=%s", p->name, p->addr);
+    }
+}
+
 /*
  * Timer and counts.
  */
@@ -236,10 +265,14 @@
         p->seen_at = conn->connected && p->wanted ? now : p->seen_at;
         return;
     }
-    if (p->wanted && now >= p->reconnect_at &&
-        now - p->seen_at < RECONNECT_LIMIT_US) {
-        connect_peer(p);
+    if (!p->wanted || now < p->reconnect_at) {
+        return;
+    }
+    if (now - p->seen_at > RECONNECT_LIMIT_US) {
+        give_up(p);
+        return;
     }
+    connect_peer(p);
 }
 
 void
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -235,7 +235,7 @@
 int open_links(Relay *n, GError **err);
 /* use_service records a request to a service; links to more of its instances
    are opened if there was none lately. */
-void use_service(Service *s, Relay *n, int64_t now);
+void use_service(Relay *n, Service *s, int64_t now);
 /* send_remote_call returns the number of the call on its link; 0 if the link
    is down or has too many unsent bytes. */
 uint64_t send_remote_call(Peer *p, Call *c, const JobOpts *o);
--- a/relay/state.c
+++ b/relay/state.c
@@ -168,7 +168,7 @@
     }
     ls->newest = MAX(ls->newest, version);
     if (conn->same_zone && version > config_version(conn->n)) {
-        request_config(conn, conn->version_at);
+        request_config(conn, SpHttp_Now());
     }
 }
 
@@ -237,8 +237,6 @@
 static void
 identify_peer(Peer *p, const SpNodeInfo *m)
 {
-    SpNodeInfo *known = SpDirectory_Get(p->n->directory, m->name);
-
     g_strlcpy(p->name, m->name, sizeof p->name);
     g_strlcpy(p->upstream.name, m->name, sizeof p->upstream.name);
     g_strlcpy(p->zone, m->zone, sizeof p->zone);
@@ -248,10 +246,6 @@
     p->upstream.avoid_until = 0;
     p->backoff_us = SP_BACKOFF_MIN_US;
     set_peer_service(p, m->service);
-    if (known && known->unreachable) {
-        known->unreachable = 0;
-        p->n->links->refresh = 1;
-    }
     SpLog(SP_LOG_INFO, "link-up",
           "peer=%s addr=%s zone=%s service=%s started_us=%" PRIu64, p->name,
           p->addr, p->zone, p->service, p->incarnation);
@@ -288,6 +282,7 @@
     g_strlcpy(conn->name, m.name, sizeof conn->name);
     conn->same_zone = strcmp(m.zone, n->settings.zone) == 0;
     add_member(n, &m, 0);
+    mark_reachable(n, m.name);
     if (conn->peer) {
         identify_peer(conn->peer, &m);
     }
--- a/relay/store.c
+++ b/relay/store.c
@@ -201,12 +201,11 @@
 
     if (t->step == STEP_IDLE || t->s->may_skip_list) {
         t->s->may_skip_list = 0;
-        t->step = STEP_LIST;
-        if (count_links(n) > 0) {
-            t->step = STEP_IDLE;
-            t->next_at = SpHttp_Now() + RELIST_US;
-            return;
-        }
+        t->step = count_links(n) > 0 ? STEP_IDLE : STEP_LIST;
+    }
+    if (t->step == STEP_IDLE) {
+        t->next_at = SpHttp_Now() + RELIST_US;
+        return;
     }
     s = g_string_sized_new(512);
     if (t->step == STEP_REGISTER) {
