--- a/flow/paths.c
+++ b/flow/paths.c
@@ -25,8 +25,10 @@
    request that is sent on the route finds it out again. */
 #define UNAVAILABLE_TTL_US (200 * SP_MS)
 /* Time constant of the smoothed shares: an answer that comes long after the
-   one before it counts nearly alone. */
+   one before it counts nearly alone, one that follows at once counts a little.
+ */
 #define SHARES_SMOOTH_US (300.0 * SP_MS)
+#define SHARES_MIN_WEIGHT 0.2
 /* Weight of one answer in the smoothed values. */
 #define SIZE_WEIGHT 0.05
 #define CALLS_WEIGHT 0.1
@@ -105,7 +107,8 @@
 {
     Path *p = get_path(ps, route);
     double elapsed = (double)(now - p->shares_at);
-    double weight = elapsed / (elapsed + SHARES_SMOOTH_US);
+    double weight =
+        MAX(SHARES_MIN_WEIGHT, elapsed / (elapsed + SHARES_SMOOTH_US));
     int i;
 
     if (!p->shares_at || elapsed > SHARES_TTL_US) {
