endless.t: a request answered 503 has not run

Each 503 is now checked against the runs; ids of the warm-up, which are sent until served, are left out.

--- a/test/endless.t
+++ b/test/endless.t
@@ -61,3 +61,8 @@
     [ "$lines" = "$runs" ]
 }
 until_ok 3 all_logged && echo "a line of log for each" || echo "$lines lines for $runs runs"
+refused_and_ran=0
+for id in $(sed -n 's/.*event=call-refused id=\([em][^ ]*\) .*status=503.*/\1/p' "$DIR/relay-front-1.out"); do
+    [ "$(runs "$id")" -eq 0 ] || refused_and_ran=$((refused_and_ran + 1))
+done
+echo "refused as not run, but ran: $refused_and_ran"
