--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -9,7 +9,7 @@
 EXTRA=0.03
 EXTRA_S=5
 SHED_S=6
-TIMES=6
+TIMES=9
 
 machine front quotes
 machine orders-1 orders
