Review: relays stop short of the newest configuration

Cause: a read of the log is limited to 1 MB, the relay goes on from the end of the partition and not from what it received.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 mkdir -p out/review
 make -s out/spstore
 cp out/spstore out/review/spstore
-for p in target clients; do
+for p in target clients store; do
     ${CC:-gcc} -std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra \
         -o "out/review/$p" "review/standin/$p.c" -lpthread
 done
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -139,6 +139,10 @@
     [ -x "$p" ] || give_up "$p is missing: run the deploy file's build and review/build.sh"
 done
 : >"$DIR/layout"
-start store "$BIN/spstore" -l "$STORE"
+if [ "${LOG_STORE:-0}" = 1 ]; then # reads are limited by max_kb
+    start store "$BIN/store" -l "$STORE" -o "$LOG" -s "$DIR/silence"
+else
+    start store "$BIN/spstore" -l "$STORE"
+fi
 store_up() { [ "$(append keyed.review probe 1)" = 200 ]; }
 until_ok 5 store_up || give_up "the store does not start"
