--- a/review/standin/clients.c
+++ b/review/standin/clients.c
@@ -4,6 +4,9 @@
  *   clients calls ...   CONNS kept connections, one request at a time on each
  *   clients batch ...   COUNT safe requests at once on one connection; the
  *                       client leaves at its deadline, or after LEAVE ms
+ *   clients pipes ...   CONNS kept connections, DEPTH safe requests at once on
+ *                       each, and the next ones when all are answered; a
+ *                       client leaves at its deadline and connects again
  *
  *   clients note ...    writes the text of -i to the record, with the time
  *
@@ -19,6 +22,7 @@
 static struct {
     const char *addr, *host, *path, *method, *prefix;
     int conns, count, calls, seconds, deadline_ms, gap_ms, leave_ms, rcvbuf;
+    int depth;
     int64_t per_ms; /* rate at which answers are read, bytes a ms; 0: any */
     int body;       /* bytes of the request's body */
     FILE *out;
@@ -29,6 +33,7 @@
        .prefix = "c",
        .conns = 1,
        .count = 1,
+       .depth = 4,
        .seconds = 5,
        .deadline_ms = 1000};
 
@@ -36,11 +41,12 @@
 usage(void)
 {
     fprintf(stderr,
-            "clients calls|batch -a ADDR -o RECORD [-H HOST] [-p PATH]\n"
+            "clients calls|batch|pipes -a ADDR -o RECORD [-H HOST] [-p PATH]\n"
             " [-m METHOD] [-i PREFIX] [-d DEADLINE_MS] [-b BODY_BYTES]\n"
             " calls: [-n CONNS] [-c CALLS] [-t SECONDS] [-g GAP_MS]\n"
             "        [-R BYTES_PER_MS] [-k RECEIVE_BUFFER]\n"
-            " batch: [-n COUNT] [-l LEAVE_MS]\n");
+            " batch: [-n COUNT] [-l LEAVE_MS]\n"
+            " pipes: [-n CONNS] [-D DEPTH] [-t SECONDS] [-g GAP_MS]\n");
     return 2;
 }
 
@@ -125,15 +131,80 @@
     return NULL;
 }
 
+/* DEPTH requests and their answers; returns 0 if the connection is to be
+   closed. */
 static int
-calls(void)
+call_ahead(Reader *r, const char *prefix)
+{
+    char *s = malloc((size_t)o.depth * REQUEST_BYTES), id[96];
+    size_t n = 0;
+    int i, sent, open = 1;
+    int64_t start = now_ms();
+
+    for (i = 0; i < o.depth; i++) {
+        snprintf(id, sizeof id, "%s-%d", prefix, i);
+        n += make_request(s + n, REQUEST_BYTES, id);
+        record(o.out, "sent %s", id);
+    }
+    r->time_out_at = start + o.deadline_ms;
+    sent = send_all(r->fd, s, n);
+    free(s);
+    for (i = 0; sent && open && i < o.depth && read_head(r); i++) {
+        size_t got = skip_body(r, o.per_ms);
+        record(o.out, "answer %s-%d %d %s ms %lld for %s", prefix, i,
+               r->status, got < r->body_len ? "cut" : "whole",
+               (long long)(now_ms() - start), r->id);
+        open = got == r->body_len && !r->closes;
+    }
+    if (i < o.depth) {
+        record(o.out, "%s %s-%d %lld",
+               now_ms() >= r->time_out_at ? "left" : "closed", prefix, i,
+               (long long)(now_ms() - start));
+    }
+    return i == o.depth && open;
+}
+
+/* A client that sends DEPTH requests at a time until the end. */
+static void *
+make_calls_ahead(void *arg)
+{
+    int k = *(int *)arg, i;
+    Reader *r = calloc(1, sizeof *r);
+
+    r->fd = -1;
+    for (i = 0; now_ms() < o.end; i++) {
+        char prefix[64];
+        if (r->fd < 0) {
+            r->len = 0;
+            r->fd = dial(o.addr, o.rcvbuf);
+        }
+        if (r->fd < 0) {
+            sleep_ms(50);
+            continue;
+        }
+        snprintf(prefix, sizeof prefix, "%s-%d-%d", o.prefix, k, i);
+        if (!call_ahead(r, prefix)) {
+            close(r->fd);
+            r->fd = -1;
+        }
+        sleep_ms(o.gap_ms);
+    }
+    if (r->fd >= 0) {
+        close(r->fd);
+    }
+    free(r);
+    return NULL;
+}
+
+static int
+run_clients(void *(*client)(void *))
 {
     pthread_t th[512];
     int k[512], i;
 
     for (i = 0; i < o.conns && i < 512; i++) {
         k[i] = i;
-        pthread_create(&th[i], NULL, make_calls, &k[i]);
+        pthread_create(&th[i], NULL, client, &k[i]);
     }
     for (i = 0; i < o.conns && i < 512; i++) {
         pthread_join(th[i], NULL);
@@ -180,7 +251,7 @@
 {
     int c;
 
-    while ((c = getopt(argc, argv, "a:o:H:p:m:i:d:b:n:c:t:g:R:k:l:")) != -1) {
+    while ((c = getopt(argc, argv, "a:o:H:p:m:i:d:b:n:c:t:g:R:k:l:D:")) != -1) {
         switch (c) {
         case 'a': o.addr = optarg; break;
         case 'o': o.out = fopen(optarg, "a"); break;
@@ -197,6 +268,7 @@
         case 'R': o.per_ms = atoll(optarg); break;
         case 'k': o.rcvbuf = atoi(optarg); break;
         case 'l': o.leave_ms = atoi(optarg); break;
+        case 'D': o.depth = atoi(optarg); break;
         default: return 0;
         }
     }
@@ -218,5 +290,9 @@
     if (!o.addr) {
         return usage();
     }
-    return strcmp(argv[1], "batch") == 0 ? batch() : calls();
+    if (strcmp(argv[1], "batch") == 0) {
+        return batch();
+    }
+    return run_clients(strcmp(argv[1], "pipes") == 0 ? make_calls_ahead
+                                                     : make_calls);
 }
--- a/review/standin/target.c
+++ b/review/standin/target.c
@@ -6,14 +6,15 @@
  * answer. A heartbeat goes to the control address every 1.5 s.
  *
  * The path says what the request costs: /w-MS/ work in ms, /k-KB/ size of the
- * answer in KB. Faults: see usage.
+ * answer in KB, /n-1/ one call of its own, GET /leaf/, through the node beside
+ * it. Faults: see usage.
  */
 #include "net.h"
 
 #define HEARTBEAT_MS 1500
 
 static struct {
-    const char *addr, *id, *service, *zone, *control, *faults;
+    const char *addr, *id, *service, *zone, *control, *faults, *outbound;
     int slots, queue;
     double shed;  /* share of the requests that it turns away */
     double extra; /* share of the answers that it sends once more, late */
@@ -38,7 +39,7 @@
     fprintf(
         stderr,
         "target -l ADDR -i ID -s SERVICE -c CONTROL -o RECORD [-z ZONE]\n"
-        " [-n SLOTS] [-q QUEUE] [-r SEED]\n"
+        " [-n SLOTS] [-q QUEUE] [-r SEED] [-O OUTBOUND]\n"
         "While FOLDER/NAME exists (-f FOLDER):\n"
         " [-S SHARE]  shed: it turns away that share of the requests\n"
         " [-X SHARE]  extra: it sends that share of its answers a second\n"
@@ -144,6 +145,30 @@
     return s;
 }
 
+/* Makes a call on behalf of the request; returns 0 if it fails. */
+static int
+call_leaf(const Reader *parent)
+{
+    Reader *r = calloc(1, sizeof *r);
+    char s[1024];
+    int n, ok;
+
+    n = snprintf(s, sizeof s,
+                 "GET /leaf/%s HTTP/1.1\r\nHost: h.example\r\n"
+                 "Siskinpond-Attempt-Id: %s.1\r\n"
+                 "Siskinpond-Deadline-Ms: %ld\r\nConnection: close\r\n\r\n",
+                 parent->id, parent->id, parent->deadline_ms);
+    r->time_out_at = now_ms() + parent->deadline_ms;
+    r->fd = dial(t.outbound, 0);
+    ok = r->fd >= 0 && send_all(r->fd, s, (size_t)n) && read_head(r) &&
+         r->status == 200 && skip_body(r, 0) == r->body_len;
+    if (r->fd >= 0) {
+        close(r->fd);
+    }
+    free(r);
+    return ok;
+}
+
 /* Runs the request and makes its answer; NULL: the connection closed. */
 static char *
 run(const Reader *r, size_t *n)
@@ -163,9 +188,13 @@
         record(t.out, "dropped %s at %s", r->id, t.id);
         return NULL;
     }
-    record(t.out, "ran %s at %s", r->id, t.id);
     snprintf(lines, sizeof lines, "Siskinpond-Response-Signature: sig.%s\r\n",
              r->id);
+    if (whole && t.outbound && path_number(r->path, "/n-") && !call_leaf(r)) {
+        record(t.out, "failed %s at %s", r->id, t.id);
+        return make_answer(r, 500, lines, 0, n);
+    }
+    record(t.out, "ran %s at %s", r->id, t.id);
     return make_answer(r, whole ? 200 : 504, lines, whole ? kb : 0, n);
 }
 
@@ -288,7 +317,7 @@
 {
     int c;
 
-    while ((c = getopt(argc, argv, "l:i:s:z:c:o:n:q:r:S:X:H:f:")) != -1) {
+    while ((c = getopt(argc, argv, "l:i:s:z:c:o:n:q:r:S:X:H:f:O:")) != -1) {
         switch (c) {
         case 'l': t.addr = optarg; break;
         case 'i': t.id = optarg; break;
@@ -303,6 +332,7 @@
         case 'X': t.extra = atof(optarg); break;
         case 'H': t.hang = atof(optarg); break;
         case 'f': t.faults = optarg; break;
+        case 'O': t.outbound = optarg; break;
         default: return 0;
         }
     }
