Review: a stopping relay cuts off calls that it let in late

Cause: check_stop ends the process 0.6 s before the grace time is over, calls of a running request are let in until then.

--- a/review/standin/target.c
+++ b/review/standin/target.c
@@ -6,8 +6,8 @@
  * answer. A heartbeat goes to the control address every 1.5 s.
  *
  * The path says what the request costs: /w-MS/ work in ms, /k-KB/ size of the
- * answer in KB, /n-1/ one call of its own, GET /leaf/, through the node beside
- * it. Faults: see usage.
+ * answer in KB, /n-1/ one call of its own after the work, GET /leaf/, through the
+ * node beside it, which costs /m-MS/. Faults: see usage.
  */
 #include "net.h"
 
@@ -147,21 +147,28 @@
 
 /* Makes a call on behalf of the request; returns 0 if it fails. */
 static int
-call_leaf(const Reader *parent)
+call_leaf(const Reader *parent, long left_ms)
 {
     Reader *r = calloc(1, sizeof *r);
     char s[1024];
     int n, ok;
 
     n = snprintf(s, sizeof s,
-                 "GET /leaf/%s HTTP/1.1\r\nHost: h.example\r\n"
+                 "GET /leaf/w-%ld/%s HTTP/1.1\r\nHost: h.example\r\n"
                  "Siskinpond-Attempt-Id: %s.1\r\n"
                  "Siskinpond-Deadline-Ms: %ld\r\nConnection: close\r\n\r\n",
-                 parent->id, parent->id, parent->deadline_ms);
-    r->time_out_at = now_ms() + parent->deadline_ms;
+                 path_number(parent->path, "/m-"), parent->id, parent->id,
+                 left_ms);
+    r->time_out_at = now_ms() + left_ms;
     r->fd = dial(t.outbound, 0);
+    record(t.out, "calls %s.1 from %s", parent->id, t.id);
     ok = r->fd >= 0 && send_all(r->fd, s, (size_t)n) && read_head(r) &&
          r->status == 200 && skip_body(r, 0) == r->body_len;
+    record(t.out, "called %s.1 from %s: %s", parent->id, t.id,
+           ok          ? "200"
+           : r->status ? "refused or failed"
+           : now_ms() >= r->time_out_at ? "no answer in time"
+                                        : "cut off");
     if (r->fd >= 0) {
         close(r->fd);
     }
@@ -190,7 +197,8 @@
     }
     snprintf(lines, sizeof lines, "Siskinpond-Response-Signature: sig.%s\r\n",
              r->id);
-    if (whole && t.outbound && path_number(r->path, "/n-") && !call_leaf(r)) {
+    if (whole && t.outbound && path_number(r->path, "/n-") &&
+        !call_leaf(r, r->deadline_ms - ms)) {
         record(t.out, "failed %s at %s", r->id, t.id);
         return make_answer(r, 500, lines, 0, n);
     }
