--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,11 +4,11 @@
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "${REVIEW:-$CASE/..}/lib.sh"
 
-FREEZES=6   # one machine at a time
+FREEZES=5   # one machine at a time
 FREEZE_S=4  # node_freeze of the site file
 CALM_S=4    # contact_s is 3
 MOST=3      # LOST: more than three times
-CLIENTS=80  # of them on a machine
+CLIENTS=40  # of them on a machine
 DEPTH=6     # requests that a client sends ahead on its connection
 
 fronts="front1 front2 front3 front4"
@@ -19,7 +19,7 @@
 publish 00000011 "$(route r-check /check/ safe 0.6 1 check 2)" \
     "$(route r-safe /safe/ safe 2 2 orders 2)" >/dev/null
 for m in $machines; do
-    target "$m" -n 31 -q 93
+    target "$m" -n 141 -q 108
     relay "$m"
 done
 for m in $machines; do
@@ -30,7 +30,7 @@
 span=$((FREEZES * (FREEZE_S + CALM_S) + 2))
 for m in $fronts; do
     clients "kept-$m" "$m" calls -i "kept-$m" -p /safe/w-120/ -n 15 -t $span -d 2000
-    clients "ahead-$m" "$m" pipes -i "ahead-$m" -p /check/w-30/ -n $CLIENTS -D $DEPTH -t $span -d 600 -g 250
+    clients "ahead-$m" "$m" pipes -i "ahead-$m" -p /check/w-60/ -n $CLIENTS -D $DEPTH -t $span -d 600
 done
 sleep 1
 ends=0
