--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -22,7 +22,7 @@
 until_ok 20 serves front /order/w-1/x || give_up "no order is served"
 sleep 3
 
-clients c front calls -m POST -p /order/w-20/ -n 40 -g 20 -t $((TIMES * 8)) -d 6000 -i c$$
+clients c front calls -m POST -p /order/w-20/ -n 120 -g 20 -t $((TIMES * 8)) -d 6000 -i c$$
 for ((k = 0; k < TIMES; k++)); do
     if [ "$TROUBLE" = 1 ]; then
         note "trouble: shed $SHED for $SHED_S s, extra answers $EXTRA for $EXTRA_S s"
