Relay: a late copy of a rejection is not taken for an answer

Cause: a response was matched by the attempt id only. After a rejection the same attempt goes to the same instance again, on the connection that was used last, where a late second copy of the rejection was taken for the answer to the new send. Ruled out: answers between relays (numbered for each send) and the store's (one call at a time, none repeated).

Change: a connection remembers what was rejected on it and is not used for it again while it can still be sent. A new event, reply-discarded, tells what was not taken.

--- a/http/http.h
+++ b/http/http.h
@@ -132,18 +132,35 @@
     SpBodyMemory *memory; /* shared; NULL: no limit */
 } SpPoolOpts;
 
+/* What a response is to the request that waits for one. */
+typedef enum {
+    SP_REPLY_OTHER,    /* of another request */
+    SP_REPLY_FINAL,    /* its answer; it is not sent again */
+    SP_REPLY_REJECTION /* its answer; it may be sent again with the same key */
+} SpReplyMatch;
+
 typedef struct SpPoolRequest {
     const char *head; /* request line, header lines and the empty line */
     size_t head_len;
     const char *body;
     size_t body_len;
-    int is_head; /* 1: HEAD request, the response has no body */
+    int is_head;        /* 1: HEAD request, the response has no body */
+    int own_connection; /* 1: on a connection that carries no other request */
+    /*
+     * key is a hash of what names the request in its responses; 0: nothing
+     * does. A connection on which it was rejected is not used for it again
+     * before key_until: a late copy of the rejection there could not be told
+     * from the answer to the later send.
+     */
+    guint key;
+    int64_t key_until;
     /*
-     * Returns 1 if the response belongs to this request; NULL accepts any. A
-     * response of another request is discarded: the exchange waits for the
-     * next response, and the connection is not reused after it.
+     * Returns what the response is to this request; NULL accepts any. first is
+     * 1 if the connection has carried no request before this one. A response
+     * of another request is discarded: the exchange waits for the next
+     * response, and the connection is not reused after it.
      */
-    int (*matches_request)(void *data, const SpMsg *m);
+    SpReplyMatch (*match)(void *data, const SpMsg *m, int first);
     SpPoolDone done;
     void *data;
 } SpPoolRequest;
--- a/http/pool.c
+++ b/http/pool.c
@@ -15,6 +15,16 @@
    that the peer does not close one just as a request is sent on it. */
 #define IDLE_MARGIN_US (1 * SP_SEC)
 
+/* A connection with more rejected requests in memory than this is not reused.
+ */
+#define MAX_REJECTED 256
+
+/* A request that was rejected on a connection and may be sent again. */
+typedef struct Rejected {
+    guint key;
+    int64_t until;
+} Rejected;
+
 typedef struct PoolConn {
     uv_tcp_t tcp;
     uv_connect_t connect_req;
@@ -27,6 +37,8 @@
     int idle; /* in the pool's idle_conns */
     int no_reuse;
     int closing;
+    int used;         /* a request before the present one was sent on it */
+    GArray *rejected; /* of Rejected */
 } PoolConn;
 
 struct SpExchange {
@@ -35,7 +47,9 @@
     size_t out_len;
     int sent;
     int is_head;
-    int (*matches_request)(void *data, const SpMsg *m);
+    guint key;
+    int64_t key_until;
+    SpReplyMatch (*match)(void *data, const SpMsg *m, int first);
     SpPoolDone done;
     void *data;
     SpMsg *response;
@@ -57,6 +71,7 @@
     PoolConn *c = h->data;
 
     SpMsgReader_Clear(&c->r);
+    g_array_free(c->rejected, TRUE);
     g_free(c);
 }
 
@@ -106,22 +121,75 @@
     }
 }
 
+static void
+forget_expired(PoolConn *c, int64_t now)
+{
+    guint i;
+
+    for (i = c->rejected->len; i > 0; i--) {
+        if (g_array_index(c->rejected, Rejected, i - 1).until < now) {
+            g_array_remove_index_fast(c->rejected, i - 1);
+        }
+    }
+}
+
+static void
+remember_rejection(PoolConn *c)
+{
+    Rejected r = {c->x->key, c->x->key_until};
+
+    forget_expired(c, SpHttp_Now());
+    if (c->rejected->len == MAX_REJECTED) {
+        c->no_reuse = 1;
+        return;
+    }
+    g_array_append_val(c->rejected, r);
+}
+
+/* Returns 1 if a request with this key was rejected on the connection. */
+static int
+has_rejected(const PoolConn *c, guint key, int64_t now)
+{
+    guint i;
+
+    for (i = 0; i < c->rejected->len; i++) {
+        const Rejected *r = &g_array_index(c->rejected, Rejected, i);
+        if (r->key == key && r->until >= now) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static SpReplyMatch
+match_response(const PoolConn *c, const SpMsg *m)
+{
+    const SpExchange *x = c->x;
+
+    return x->match ? x->match(x->data, m, !c->used) : SP_REPLY_FINAL;
+}
+
 static int
 on_message(void *ctx, SpMsg *m)
 {
     PoolConn *c = ctx;
     SpExchange *x = c->x;
+    SpReplyMatch match;
 
     if (!x || x->response) {
         c->no_reuse = 1; /* unsolicited response */
         SpMsg_Free(m);
         return 1;
     }
-    if (x->matches_request && !x->matches_request(x->data, m)) {
+    match = match_response(c, m);
+    if (match == SP_REPLY_OTHER) {
         c->no_reuse = 1;
         SpMsg_Free(m);
         return 0;
     }
+    if (match == SP_REPLY_REJECTION) {
+        remember_rejection(c);
+    }
     x->response = m;
     return 1;
 }
@@ -131,6 +199,7 @@
 {
     c->since = SpHttp_Now();
     c->idle = 1;
+    c->used = 1;
     g_queue_push_head(&c->p->idle_conns, c);
 }
 
@@ -287,6 +356,7 @@
     c->r.max_body = p->o.body_bytes;
     c->r.memory = p->o.memory;
     c->since = SpHttp_Now();
+    c->rejected = g_array_new(FALSE, FALSE, sizeof(Rejected));
     g_ptr_array_add(p->conns, c);
     p->opened++;
     return c;
@@ -309,30 +379,40 @@
     return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+/* Takes an idle connection that may carry a request with this key; NULL if
+   there is none. */
 static PoolConn *
-take_idle(SpPool *p)
+take_idle(SpPool *p, guint key)
 {
-    PoolConn *c;
+    int64_t now = SpHttp_Now();
+    GList *k, *next;
 
-    while ((c = g_queue_pop_head(&p->idle_conns)) != NULL) {
-        c->idle = 0;
-        if (SpHttp_Now() - c->since < c->idle_limit_us &&
-            !is_closed_or_readable(c)) {
-            return c;
+    for (k = p->idle_conns.head; k; k = next) {
+        PoolConn *c = k->data;
+        next = k->next;
+        if (now - c->since >= c->idle_limit_us || is_closed_or_readable(c)) {
+            close_conn(c);
+            continue;
         }
-        close_conn(c);
+        if (key && has_rejected(c, key, now)) {
+            continue;
+        }
+        g_queue_delete_link(&p->idle_conns, k);
+        c->idle = 0;
+        return c;
     }
     return NULL;
 }
 
-SpExchange *
-SpPool_Send(SpPool *p, const SpPoolRequest *o)
+static SpExchange *
+new_exchange(const SpPoolRequest *o)
 {
     SpExchange *x = g_new0(SpExchange, 1);
-    PoolConn *c;
 
     x->is_head = o->is_head;
-    x->matches_request = o->matches_request;
+    x->key = o->key;
+    x->key_until = o->key_until;
+    x->match = o->match;
     x->done = o->done;
     x->data = o->data;
     x->out_len = o->head_len + o->body_len;
@@ -341,7 +421,15 @@
     if (o->body_len) {
         memcpy(x->out + o->head_len, o->body, o->body_len);
     }
-    c = take_idle(p);
+    return x;
+}
+
+SpExchange *
+SpPool_Send(SpPool *p, const SpPoolRequest *o)
+{
+    SpExchange *x = new_exchange(o);
+    PoolConn *c = o->own_connection ? NULL : take_idle(p, o->key);
+
     if (c) {
         c->x = x;
         x->c = c;
@@ -352,6 +440,7 @@
     c = open_conn(p);
     c->x = x;
     x->c = c;
+    c->no_reuse = o->own_connection;
     if (uv_tcp_connect(&c->connect_req, &c->tcp,
                        (const struct sockaddr *)&p->sa, on_connect) != 0) {
         c->since = 0; /* the next SpPool_Tick reports a connect time-out */
--- a/relay/adapter.h
+++ b/relay/adapter.h
@@ -25,7 +25,8 @@
 
 /* Fields of an instance's answer besides its status and body. */
 typedef struct SpReplyInfo {
-    int matches_id; /* 1: it answers the request with the given id */
+    int has_id;     /* 1: it names the request that it answers */
+    int matches_id; /* 1: it names the request with the given id */
     int not_run; /* 1: the instance states that it did not run the request */
 } SpReplyInfo;
 
--- a/relay/check.c
+++ b/relay/check.c
@@ -28,7 +28,9 @@
 send_check(Relay *n, const char *path)
 {
     GString *s = g_string_sized_new(128);
-    SpPoolRequest o = {.done = on_check, .data = n};
+    /* neither its answer nor that of a request names what it answers to, so
+       that a late copy of one must not reach the other */
+    SpPoolRequest o = {.own_connection = 1, .done = on_check, .data = n};
 
     n->adapter->write_check(s, n->settings.instance, path);
     o.head = s->str;
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -12,6 +12,9 @@
 /* The instance itself ends a run at the deadline; the relay aborts it this
    much later. */
 #define ABORT_SLACK_US (150 * SP_MS)
+/* An attempt is not sent again later than this after its deadline here, which
+   depends on how long it was on its way. */
+#define RESEND_SLACK_US (5 * SP_SEC)
 /* Minimum remaining time passed to the instance. */
 #define MIN_LEFT_MS 1
 /* For this long after the start of a stop the node accepts requests as
@@ -126,14 +129,28 @@
     end_job(j, &r);
 }
 
-static int
-matches_request(void *data, const SpMsg *m)
+/*
+ * Matches a response by the id of the attempt. A rejection without an id is
+ * believed only on a connection that has carried no other request: elsewhere
+ * it may be a late copy of the rejection of an earlier one.
+ */
+static SpReplyMatch
+match_reply(void *data, const SpMsg *m, int first)
 {
     Job *j = data;
     SpReplyInfo r;
 
     j->n->adapter->read_reply(m, j->id, &r);
-    return r.matches_id;
+    if (r.matches_id || (!r.has_id && r.not_run && first)) {
+        return r.not_run ? SP_REPLY_REJECTION : SP_REPLY_FINAL;
+    }
+    if (j->ndiscarded++ > 0) {
+        return SP_REPLY_OTHER; /* there may be any number of them */
+    }
+    SpLog(SP_LOG_WARN, "reply-discarded",
+          "id=%s instance=%s status=%d named=%d not_run=%d first=%d", j->id,
+          j->n->inst.last.id, m->status, r.has_id, r.not_run, first);
+    return SP_REPLY_OTHER;
 }
 
 static void
@@ -213,8 +230,7 @@
 {
     Relay *n = j->n;
     int64_t now = SpHttp_Now();
-    SpPoolRequest o = {
-        .matches_request = matches_request, .done = on_answer, .data = j};
+    SpPoolRequest o = {.match = match_reply, .done = on_answer, .data = j};
 
     j->started = now;
     Metrics_Time(n->metrics, METRIC_WAIT, now - j->req.arrived);
@@ -226,6 +242,8 @@
     o.body = j->body;
     o.body_len = j->body_len;
     o.is_head = strncmp(j->head->str, "HEAD ", 5) == 0;
+    o.key = g_str_hash(j->id);
+    o.key_until = j->req.deadline + RESEND_SLACK_US;
     n->counters.jobs++;
     j->x = SpPool_Send(n->pool, &o);
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -103,7 +103,8 @@
     double calls_left; /* calls that its original request needs after it */
     double calls_done; /* nested calls that have succeeded, theirs included */
     int64_t started;
-    GString *head; /* owned; without the headers of the last hop */
+    int ndiscarded; /* responses on its connection that were not its own */
+    GString *head;  /* owned; without the headers of the last hop */
     const char *body;
     size_t body_len;
     char *body_copy; /* copy of the body; NULL if the owner keeps it */
--- a/standin/spinst.c
+++ b/standin/spinst.c
@@ -10,13 +10,21 @@
  *   /reset     no response; the connection is reset
  *   /hang      no response; the connection is closed after 5 s
  *   /refuse    503, not executed
+ *   /refuse-first  503 to the first send of an id, and the same again late;
+ *              the next send is executed
+ *   /refuse-bare  503, not executed, without the attempt id
  *   /error     500, executed
  *   /other     421
  *   /early     sent before the request body is read
  *   /endless-KIND  bytes without end, see endless_answers; /endless-KIND-slow:
  *              one byte at a time
  *
+ * A late response is sent again on its connection when the next request has
+ * arrived there, before the response to that request.
+ *
  * GET /health returns the instance id, with status 503 while spinst drains.
+ * With -H it is refused like /refuse-bare after CHECK_MS, and the refusal is
+ * sent again late.
  * spinst sends a heartbeat to the control address every REPORT_MS (or -r MS),
  * and prints a line for each request that it executes. On SIGTERM it reports
  * that it is draining, continues to serve for DRAIN_MS, deregisters and exits.
@@ -39,6 +47,7 @@
 #define REPORT_MS 200
 #define HEAD_BYTES 65536
 #define DRAIN_MS 1000
+#define CHECK_MS 300
 
 static struct {
     const char *addr, *id, *service, *zone, *control;
@@ -47,8 +56,17 @@
     long long start_ms;
     volatile sig_atomic_t draining;
     int seq;
+    int refuse_checks;
+    GHashTable *refused; /* ids of /refuse-first that were refused */
 } inst;
 
+/* A connection from the relay. */
+typedef struct Conn {
+    int fd;
+    char *late; /* response to be sent again; NULL: none */
+} Conn;
+
+static pthread_mutex_t refused_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_mutex_t print_lock = PTHREAD_MUTEX_INITIALIZER;
 
 static void
@@ -183,27 +201,101 @@
 }
 
 static void
-print_run(const Request *r)
+print_line(const char *s)
 {
     pthread_mutex_lock(&print_lock);
-    printf("run id=%s method=%s path=%s caller=%s body=%zu left=%s\n", r->id,
-           r->method, r->path, r->caller, r->body,
-           r->left_ms > 0 ? "given" : "missing");
+    printf("%s\n", s);
     fflush(stdout);
     pthread_mutex_unlock(&print_lock);
 }
 
 static void
-respond_health(int fd)
+print_run(const Request *r)
 {
-    char *s = g_strdup_printf("HTTP/1.1 %s\r\nContent-Length: 0\r\n"
-                              "Siskinpond-Instance-Id: %s\r\n\r\n",
-                              inst.draining ? "503 x" : "200 OK", inst.id);
+    char *s = g_strdup_printf(
+        "run id=%s method=%s path=%s caller=%s body=%zu left=%s", r->id,
+        r->method, r->path, r->caller, r->body,
+        r->left_ms > 0 ? "given" : "missing");
 
-    send_text(fd, s);
+    print_line(s);
+    g_free(s);
+}
+
+#define REFUSAL                                                               \
+    "HTTP/1.1 503 x\r\nSiskinpond-Not-Executed: 1\r\nContent-Length: "        \
+    "0\r\n\r\n"
+
+static void
+respond_health(Conn *c)
+{
+    char *s;
+
+    if (inst.refuse_checks) {
+        print_line("check");
+        sleep_ms(CHECK_MS);
+        send_text(c->fd, REFUSAL);
+        g_free(c->late);
+        c->late = g_strdup(REFUSAL);
+        return;
+    }
+    s = g_strdup_printf("HTTP/1.1 %s\r\nContent-Length: 0\r\n"
+                        "Siskinpond-Instance-Id: %s\r\n\r\n",
+                        inst.draining ? "503 x" : "200 OK", inst.id);
+    send_text(c->fd, s);
     g_free(s);
 }
 
+/* Sends a response that says that the request was not executed; returns its
+   text. */
+static char *
+refuse(int fd, const Request *r, const char *status_lines)
+{
+    char *s = g_strdup_printf("HTTP/1.1 %sSiskinpond-Attempt-Id: %s\r\n"
+                              "Content-Length: 0\r\n\r\n",
+                              status_lines, r->id);
+
+    send_text(fd, s);
+    return s;
+}
+
+/* Returns 1 for the first request with this id. */
+static int
+is_first_send(const Request *r)
+{
+    int first;
+
+    pthread_mutex_lock(&refused_lock);
+    first = g_hash_table_add(inst.refused, g_strdup(r->id));
+    pthread_mutex_unlock(&refused_lock);
+    return first;
+}
+
+/* Refuses the request if its path or its expected instance says so. */
+static int
+is_refused(Conn *c, const Request *r)
+{
+    static const char throttled[] = "503 x\r\nSiskinpond-Not-Executed: 1\r\n";
+    int other = r->expect[0] && strcmp(r->expect, inst.id) != 0;
+
+    if (other || ends_with(r->path, "/other")) {
+        g_free(refuse(c->fd, r, "421 x\r\n"));
+        return 1;
+    }
+    if (ends_with(r->path, "/refuse")) {
+        g_free(refuse(c->fd, r, throttled));
+        return 1;
+    }
+    if (ends_with(r->path, "/refuse-bare")) {
+        send_text(c->fd, REFUSAL);
+        return 1;
+    }
+    if (ends_with(r->path, "/refuse-first") && is_first_send(r)) {
+        c->late = refuse(c->fd, r, throttled);
+        return 1;
+    }
+    return 0;
+}
+
 /*
  * Answers without end: a start, then the same bytes again and again.
  */
@@ -295,28 +387,19 @@
 
 /* Returns 0 to close the connection. */
 static int
-respond(int fd, const Request *r)
+respond(Conn *c, const Request *r)
 {
+    int fd = c->fd;
     const char *slow = strstr(r->path, "/slow-");
     const EndlessAnswer *endless = find_endless(r->path);
     char *s;
     int keep_open = 1;
 
     if (strcmp(r->path, "/health") == 0) {
-        respond_health(fd);
-        return 1;
-    }
-    if (r->expect[0] && strcmp(r->expect, inst.id) != 0) {
-        send_text(fd, "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n");
-        return 1;
-    }
-    if (ends_with(r->path, "/refuse")) {
-        send_text(fd, "HTTP/1.1 503 x\r\nSiskinpond-Not-Executed: 1\r\n"
-                      "Content-Length: 0\r\n\r\n");
+        respond_health(c);
         return 1;
     }
-    if (ends_with(r->path, "/other")) {
-        send_text(fd, "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n");
+    if (is_refused(c, r)) {
         return 1;
     }
     print_run(r);
@@ -362,19 +445,26 @@
 static void *
 serve(void *arg)
 {
-    int fd = GPOINTER_TO_INT(arg), keep_open = 1;
+    Conn c = {.fd = GPOINTER_TO_INT(arg)};
+    int fd = c.fd, keep_open = 1;
     char *buf = g_malloc0(HEAD_BYTES);
     size_t len = 0;
     Request r;
 
     while (keep_open && read_head(fd, buf, &len, &r)) {
+        if (c.late) {
+            send_text(fd, c.late);
+            g_free(c.late);
+            c.late = NULL;
+        }
         if (ends_with(r.path, "/early")) {
-            keep_open = respond(fd, &r) && skip_body(fd, buf, &len, r.body);
+            keep_open = respond(&c, &r) && skip_body(fd, buf, &len, r.body);
             continue;
         }
-        keep_open = skip_body(fd, buf, &len, r.body) && respond(fd, &r);
+        keep_open = skip_body(fd, buf, &len, r.body) && respond(&c, &r);
     }
     close(fd);
+    g_free(c.late);
     g_free(buf);
     return NULL;
 }
@@ -473,8 +563,9 @@
     pthread_t thread;
 
     inst.slots = 8;
+    inst.refused = g_hash_table_new(g_str_hash, g_str_equal);
     inst.report_ms = REPORT_MS;
-    while ((c = getopt(argc, argv, "l:i:s:z:c:n:b:r:")) != -1) {
+    while ((c = getopt(argc, argv, "l:i:s:z:c:n:b:r:H")) != -1) {
         switch (c) {
         case 'l':
             inst.addr = optarg;
@@ -497,6 +588,9 @@
         case 'r':
             inst.report_ms = (int)strtol(optarg, NULL, 10);
             break;
+        case 'H':
+            inst.refuse_checks = 1;
+            break;
         case 'b':
             inst.start_ms = strtoll(optarg, NULL, 10);
             break;
@@ -507,7 +601,8 @@
     if (!inst.addr || !inst.id || !inst.service || !inst.zone ||
         !inst.control) {
         fprintf(stderr, "usage: spinst -l ADDR -i ID -s SERVICE -z ZONE"
-                        " -c CONTROL [-n SLOTS] [-b START_MS]\n");
+                        " -c CONTROL [-n SLOTS] [-b START_MS] [-r REPORT_MS]"
+                        " [-H]\n");
         return 2;
     }
     signal(SIGPIPE, SIG_IGN);
