Relay: read the configuration's log on behind what was received

Cause: an answer of /log-read holds 1 MB of records at most and names the end of the log; the relay went on from that end and never read what lay between. Ruled out: the exchange between relays (all followers read the same).

Change: a read goes on behind the records it received. The unit test of the read answer required the end of the log, which was the fault; it now requires the offset behind the records received.

--- a/relay/adapter.h
+++ b/relay/adapter.h
@@ -59,7 +59,8 @@
 typedef struct SpRecords {
     SpArena *arena;
     GArray *list; /* of SpRecord */
-    int64_t end;  /* offset after the newest record */
+    int64_t next; /* offset from which to read on: after the last record of a
+                     read, at the end of the log for the newest records */
     int more;     /* 1: there are more pages after the last key */
 } SpRecords;
 
@@ -92,7 +93,7 @@
     int (*read_newest)(const SpMsg *m, SpRecords *rs);
     void (*write_read)(GString *s, const char *host, SpStream st, int64_t from,
                        int wait_ms);
-    int (*read_read)(const SpMsg *m, SpRecords *rs);
+    int (*read_read)(const SpMsg *m, int64_t from, SpRecords *rs);
     void (*write_append)(GString *s, const char *host, SpStream st,
                          const char *key, const char *value);
 } SpAdapter;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -200,7 +200,9 @@
 };
 
 /* sprelay.c */
-void apply_config(Relay *n, const char *p, size_t len, const char *from);
+/* apply_config puts a configuration in force if it is newer than the present
+   one; returns 0 if it is unusable. */
+int apply_config(Relay *n, const char *p, size_t len, const char *from);
 Service *service_of(Relay *n, const char *name);
 int is_relay_ready(const Relay *n);
 /* stall_us returns the time for which this process was suspended or blocked,
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -66,7 +66,7 @@
     SpHttpServer_SetLimits(n->http, &h);
 }
 
-void
+int
 apply_config(Relay *n, const char *p, size_t len, const char *from)
 {
     GError *err = NULL;
@@ -76,11 +76,11 @@
         SpLog(SP_LOG_WARN, "config-unusable", "from=%s why=\"%s\"", from,
               err->message);
         g_error_free(err);
-        return;
+        return 0;
     }
     if (n->routes && rs->version <= n->routes->version) {
         SpRoutes_Unref(rs);
-        return;
+        return 1;
     }
     SpLog(SP_LOG_INFO, "config",
           "version=%" PRIu64 " was=%" PRIu64 " from=%s routes=%u", rs->version,
@@ -89,6 +89,7 @@
     n->routes = rs;
     apply_limits(n);
     broadcast_state(n);
+    return 1;
 }
 
 int64_t
--- a/relay/state.c
+++ b/relay/state.c
@@ -313,7 +313,7 @@
     const char *p = get_bin(f, &n);
 
     if (!f->bad) {
-        apply_config(conn->n, p, n, conn->name);
+        (void)apply_config(conn->n, p, n, conn->name);
     }
     return !f->bad;
 }
--- a/relay/store.c
+++ b/relay/store.c
@@ -68,7 +68,7 @@
     /* returns 0 if the answer is unusable */
     int (*handle)(struct Task *t, const SpMsg *m);
     int step;
-    int64_t offset;  /* of the next read in the stream, when following */
+    int64_t offset;  /* of the next read in the stream */
     char after[256]; /* last key of the previous page; empty: first page */
 } Task;
 
@@ -383,7 +383,13 @@
     g_string_free(s, TRUE);
 }
 
-/* Applies only the newest record of the configuration's key: earlier records
+static int
+is_config(const Relay *n, const SpRecord *r)
+{
+    return r->key && r->value && strcmp(r->key, n->adapter->config_key) == 0;
+}
+
+/* Applies only the newest usable record of the configuration: earlier records
    in the same answer are already superseded. */
 static void
 apply_newest_config(Relay *n, const SpRecords *rs)
@@ -392,14 +398,23 @@
 
     for (i = rs->list->len; i > 0; i--) {
         const SpRecord *r = &g_array_index(rs->list, SpRecord, i - 1);
-        if (r->key && r->value &&
-            strcmp(r->key, n->adapter->config_key) == 0) {
-            apply_config(n, r->value, r->value_len, "store");
+        if (is_config(n, r) &&
+            apply_config(n, r->value, r->value_len, "store")) {
             return;
         }
     }
 }
 
+/* The pages are made one after the other: what changes behind the key of a
+   page meanwhile is after the end of the log that the first page names. */
+static void
+note_read_on(Task *t, const SpRecords *rs)
+{
+    if (t->step == STEP_FOLLOW || !t->after[0]) {
+        t->offset = rs->next;
+    }
+}
+
 static int
 handle_config_records(Task *t, const SpMsg *m)
 {
@@ -410,16 +425,16 @@
         ok = t->s->n->adapter->read_newest(m, &rs);
     }
     else {
-        ok = t->s->n->adapter->read_read(m, &rs);
+        ok = t->s->n->adapter->read_read(m, t->offset, &rs);
     }
     if (ok) {
+        note_read_on(t, &rs);
         apply_newest_config(t->s->n, &rs);
     }
     if (ok && t->step == STEP_NEWEST) {
         note_last_key(t, &rs);
     }
     if (ok && !t->after[0]) {
-        t->offset = rs.end;
         t->step = STEP_FOLLOW;
     }
     if (!ok) {
--- a/standin/spstore.c
+++ b/standin/spstore.c
@@ -1,10 +1,12 @@
 /*
  * spstore: simulates the platform's metadata store, for tests. It implements
  * the published API of a log with keyed topics: conditional append, long-poll
- * read, newest record of each key, trim. PUT /standin?mode=MODE selects how it
- * responds: ok, down (503), silent (no response), lost (appends take effect
- * but get no response).
+ * read of at most max_kb, newest record of each key in pages (-i ITEMS a
+ * page), trim. PUT /standin?mode=MODE selects how it responds: ok, down (503),
+ * silent (no response), lost (appends take effect but get no response), slow
+ * (pages are made SLOW_MS after their request). Its response counts the calls.
  */
+#include <getopt.h>
 #include <jansson.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -14,6 +16,10 @@
 
 #define LENGTH_BYTES 4
 #define MAX_ITEMS 500
+#define PAGE_BYTES ((size_t)1 << 20)
+#define READ_KB 1024
+#define KB ((size_t)1024)
+#define SLOW_MS 700
 
 typedef struct Record {
     int64_t offset;
@@ -32,20 +38,30 @@
     SpHttpReq *req;
     Topic *topic;
     int64_t from, deadline;
+    size_t max; /* bytes of records in its response */
 } PendingRead;
 
-typedef enum { MODE_OK, MODE_DOWN, MODE_SILENT, MODE_LOST } Mode;
+/* A request for a page that is handled later. */
+typedef struct SlowPage {
+    SpHttpReq *req;
+    int64_t at;
+} SlowPage;
+
+typedef enum { MODE_OK, MODE_DOWN, MODE_SILENT, MODE_LOST, MODE_SLOW } Mode;
 
-static const char *const mode_names[] = {"ok", "down", "silent", "lost"};
+static const char *const mode_names[] = {"ok", "down", "silent", "lost",
+                                         "slow"};
 
 static struct {
     uv_loop_t *loop;
     SpHttpServer *http;
     GHashTable *topics;
     GPtrArray *pending_reads;
+    GQueue slow_pages; /* of SlowPage, in the order of at */
     Mode mode;
+    size_t page_items;
     int writes, reads;
-} store;
+} store = {.page_items = MAX_ITEMS};
 
 static char *
 query_param(const SpMsg *m, const char *name)
@@ -131,16 +147,23 @@
     return (int64_t)t->records->len;
 }
 
+/* Replies with the records from an offset on that have at most max bytes
+   together, and with the first of them in any case. */
 static void
-reply_records(SpHttpReq *r, const Topic *t, int64_t from)
+reply_records(SpHttpReq *r, const Topic *t, int64_t from, size_t max)
 {
     GByteArray *b = g_byte_array_new();
+    size_t bytes = 0;
     int64_t i;
 
     append_number(b, (uint64_t)end_offset(t), 8);
     append_number(b, (uint64_t)t->first, 8);
     for (i = from; i < end_offset(t); i++) {
         const Record *rec = &g_array_index(t->records, Record, i);
+        bytes += LENGTH_BYTES + rec->len;
+        if (i > from && bytes > max) {
+            break;
+        }
         append_number(b, rec->len, LENGTH_BYTES);
         g_byte_array_append(b, (const guint8 *)rec->bytes, (guint)rec->len);
     }
@@ -157,7 +180,7 @@
         PendingRead *w = g_ptr_array_index(store.pending_reads, i - 1);
         if (w->topic == t && w->from < end_offset(t)) {
             g_ptr_array_remove_index_fast(store.pending_reads, i - 1);
-            reply_records(w->req, t, w->from);
+            reply_records(w->req, t, w->from, w->max);
             g_free(w);
         }
     }
@@ -196,6 +219,7 @@
 handle_read(SpHttpReq *r, const SpMsg *m, Topic *t)
 {
     int64_t from = query_int(m, "from", 0);
+    size_t max = (size_t)query_int(m, "max_kb", READ_KB) * KB;
     PendingRead *w;
 
     store.reads++;
@@ -204,13 +228,14 @@
         return;
     }
     if (from < end_offset(t)) {
-        reply_records(r, t, from);
+        reply_records(r, t, from, max);
         return;
     }
     w = g_new0(PendingRead, 1);
     w->req = r;
     w->topic = t;
     w->from = from;
+    w->max = max;
     w->deadline = SpHttp_Now() + query_int(m, "wait_ms", 0) * SP_MS;
     g_ptr_array_add(store.pending_reads, w);
 }
@@ -237,6 +262,7 @@
 typedef struct Page {
     json_t *items;
     const char *after;
+    size_t bytes; /* of the values */
     int more;
 } Page;
 
@@ -251,10 +277,12 @@
     if (strcmp(key, p->after) <= 0) {
         return FALSE;
     }
-    if (json_array_size(p->items) >= MAX_ITEMS) {
+    if (json_array_size(p->items) >= store.page_items ||
+        (p->bytes && p->bytes + rec->len > PAGE_BYTES)) {
         p->more = 1;
         return TRUE;
     }
+    p->bytes += rec->len;
     text = g_base64_encode((const guchar *)rec->bytes + n, rec->len - n);
     json_array_append_new(p->items,
                           json_pack("{s:s,s:s,s:I}", "key", key, "value", text,
@@ -275,10 +303,9 @@
 {
     GTree *keys = g_tree_new_full(compare_name, NULL, g_free, NULL);
     char *after = query_param(m, "after"), *text;
-    Page p = {json_array(), after ? after : "", 0};
+    Page p = {json_array(), after ? after : "", 0, 0};
     json_t *o;
 
-    store.reads++;
     collect_newest(t, keys);
     g_tree_foreach(keys, add_item, &p);
     o = json_pack("{s:o,s:b,s:I}", "items", p.items, "has_more", p.more,
@@ -291,6 +318,16 @@
     g_free(after);
 }
 
+static void
+delay_page(SpHttpReq *r)
+{
+    SlowPage *p = g_new(SlowPage, 1);
+
+    p->req = r;
+    p->at = SpHttp_Now() + SLOW_MS * SP_MS;
+    g_queue_push_tail(&store.slow_pages, p);
+}
+
 static void
 handle_trim(SpHttpReq *r, const SpMsg *m, Topic *t)
 {
@@ -350,6 +387,11 @@
         handle_read(r, m, t);
     }
     else if (is_request(m, "GET", "/log-newest?")) {
+        store.reads++;
+        if (store.mode == MODE_SLOW) {
+            delay_page(r);
+            return;
+        }
         handle_newest(r, m, t);
     }
     else if (is_request(m, "POST", "/log-trim?")) {
@@ -360,12 +402,41 @@
     }
 }
 
+static void
+forget_page(SpHttpReq *r)
+{
+    GList *k;
+
+    for (k = store.slow_pages.head; k; k = k->next) {
+        if (((SlowPage *)k->data)->req == r) {
+            g_free(k->data);
+            g_queue_delete_link(&store.slow_pages, k);
+            return;
+        }
+    }
+}
+
+static void
+send_slow_pages(int64_t now)
+{
+    SlowPage *p;
+    const SpMsg *m;
+
+    while ((p = g_queue_peek_head(&store.slow_pages)) && now >= p->at) {
+        g_queue_pop_head(&store.slow_pages);
+        m = SpHttpReq_Msg(p->req);
+        handle_newest(p->req, m, get_topic(m));
+        g_free(p);
+    }
+}
+
 static void
 on_disconnect(void *ctx, SpHttpReq *r)
 {
     guint i;
 
     (void)ctx;
+    forget_page(r);
     for (i = store.pending_reads->len; i > 0; i--) {
         PendingRead *w = g_ptr_array_index(store.pending_reads, i - 1);
         if (w->req == r) {
@@ -386,10 +457,11 @@
         PendingRead *w = g_ptr_array_index(store.pending_reads, i - 1);
         if (now >= w->deadline) {
             g_ptr_array_remove_index_fast(store.pending_reads, i - 1);
-            reply_records(w->req, w->topic, w->from);
+            reply_records(w->req, w->topic, w->from, w->max);
             g_free(w);
         }
     }
+    send_slow_pages(now);
     SpHttpServer_Tick(store.http, now);
 }
 
@@ -401,9 +473,19 @@
     SpHttpHandler h = {on_request, on_disconnect, NULL};
     uv_timer_t tick;
     GError *err = NULL;
+    const char *addr = NULL;
+    int c;
 
-    if (argc != 3 || strcmp(argv[1], "-l") != 0) {
-        fprintf(stderr, "usage: spstore -l IP:PORT\n");
+    while ((c = getopt(argc, argv, "l:i:")) != -1) {
+        if (c == 'l') {
+            addr = optarg;
+        }
+        else if (c == 'i') {
+            store.page_items = (size_t)strtoul(optarg, NULL, 10);
+        }
+    }
+    if (!addr || !store.page_items) {
+        fprintf(stderr, "usage: spstore -l IP:PORT [-i ITEMS]\n");
         return 2;
     }
     signal(SIGPIPE, SIG_IGN);
@@ -411,7 +493,7 @@
     store.topics = g_hash_table_new(g_str_hash, g_str_equal);
     store.pending_reads = g_ptr_array_new();
     store.http = SpHttpServer_New(store.loop, &limits, NULL);
-    if (!SpHttpServer_Listen(store.http, argv[2], &h, &err)) {
+    if (!SpHttpServer_Listen(store.http, addr, &h, &err)) {
         fprintf(stderr, "spstore: %s\n", err->message);
         return 1;
     }
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -131,5 +131,6 @@
 is_up() { [ -n "$(ready "$1")" ]; }
 
 : >"$DIR/layout"
-run store "$OUT/spstore" -l "$STORE"
+# shellcheck disable=SC2086
+run store "$OUT/spstore" -l "$STORE" ${STORE_OPTS:-}
 until_ok 5 store_mode ok
--- a/test/flow.c
+++ b/test/flow.c
@@ -606,20 +606,21 @@
 
     m.body = (char *)body;
     m.body_len = sizeof body - 1;
-    CU_ASSERT(SpPlatform_ParseReadResponse(&m, &rs));
-    CU_ASSERT_EQUAL(rs.end, 9);
+    CU_ASSERT(SpPlatform_ParseReadResponse(&m, 5, &rs));
+    /* the log ends at 9, but the response holds the records 5 and 6 only */
+    CU_ASSERT_EQUAL(rs.next, 7);
     CU_ASSERT_EQUAL_FATAL(rs.list->len, 2);
     CU_ASSERT_STRING_EQUAL(g_array_index(rs.list, SpRecord, 0).value, "vv");
     CU_ASSERT_PTR_NULL(g_array_index(rs.list, SpRecord, 1).value);
     SpArena_Free(rs.arena);
     g_array_free(rs.list, TRUE);
     m.body_len -= 2; /* truncated */
-    CU_ASSERT_FALSE(SpPlatform_ParseReadResponse(&m, &rs));
+    CU_ASSERT_FALSE(SpPlatform_ParseReadResponse(&m, 5, &rs));
     SpArena_Free(rs.arena);
     g_array_free(rs.list, TRUE);
     m.body_len += 2;
     m.status = 410; /* the records were trimmed from the log */
-    CU_ASSERT_FALSE(SpPlatform_ParseReadResponse(&m, &rs));
+    CU_ASSERT_FALSE(SpPlatform_ParseReadResponse(&m, 5, &rs));
     SpArena_Free(rs.arena);
     g_array_free(rs.list, TRUE);
 }
@@ -636,7 +637,7 @@
     m.body = (char *)body;
     m.body_len = strlen(body);
     CU_ASSERT(SpPlatform_ParseNewestResponse(&m, &rs));
-    CU_ASSERT(rs.more && rs.end == 4);
+    CU_ASSERT(rs.more && rs.next == 4);
     CU_ASSERT_EQUAL_FATAL(rs.list->len, 1);
     CU_ASSERT_STRING_EQUAL(g_array_index(rs.list, SpRecord, 0).value, "hi");
     SpArena_Free(rs.arena);
--- a/test/fuzz_wire.c
+++ b/test/fuzz_wire.c
@@ -56,7 +56,7 @@
     SpMsg m = make_msg(p, n);
     SpRecords rs;
 
-    SpPlatform_ParseReadResponse(&m, &rs);
+    SpPlatform_ParseReadResponse(&m, 0, &rs);
     free_records(&rs);
     SpPlatform_ParseNewestResponse(&m, &rs);
     free_records(&rs);
