Relay: what is let in during a stop is answered before the end

Requests in another relay's queue were closed without an answer although they had not run.

Cause: the end of the process was known to nothing that it let in. Targets got the time of the caller, other relays kept queued requests for a caller that would be gone, and the end came early.

Change: flow/stop holds the phases, relay/stop.c carries them out (docs/design/stop.md). The process ends 0.1 s before the kill. A target gets no more time than is left until 0.2 s before that and ends a run by itself; what still waits in a queue then is refused as not run, in other relays by a new message, stopping. At the end, what is cut is answered 502 and logged. Related: the process no longer ends with unsent bytes to other relays, nor while its connections may hold unread bytes, which would reset them. spinst ends a run at its deadline with 504, as the platform's page says.

--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -37,6 +37,13 @@
     end_attempt(c, &here);
 }
 
+/* Time by which the instance has to answer. */
+static int64_t
+target_deadline(const Call *c)
+{
+    return MIN(c->deadline, answer_by(c->n));
+}
+
 static int
 send_to(Call *c, SpUpstream *u)
 {
@@ -49,7 +56,7 @@
                  .is_retry = c->is_retry || c->reached > 0,
                  .idempotent = c->route->idempotent,
                  .calls_left = c->calls_left,
-                 .left_us = c->deadline - SpHttp_Now(),
+                 .left_us = target_deadline(c) - SpHttp_Now(),
                  .service = c->service,
                  .body = c->msg->body,
                  .body_len = c->msg->body_len,
@@ -128,8 +135,8 @@
 
     use_service(c->n, s, now);
     while (c->ntried < SP_MAX_TRIES) {
-        if (c->deadline - now < MIN_LEFT_US) {
-            refuse_or_fail(c, SP_LATE);
+        if (target_deadline(c) - now < MIN_LEFT_US) {
+            refuse_or_fail(c, c->n->stop.since ? SP_LEAVING : SP_LATE);
             return;
         }
         update_self(c->n, now);
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -3,8 +3,6 @@
 
 #include "relay/call.h"
 
-/* Time after the start of a stop from which new requests are refused. */
-#define STOP_REFUSE_AFTER_US (2900 * SP_MS)
 /* Deadline of a request that gives none. */
 #define DEFAULT_DEADLINE_US (30 * SP_SEC)
 /* Minimum of Retry-After and width of its random spread. */
@@ -219,16 +217,6 @@
            SpPaths_TakeProbe(n->paths, c->arrived, c->route->name);
 }
 
-/* A stopping node refuses new requests that it might not complete. */
-static int
-is_refused_by_stop(const Call *c)
-{
-    int64_t stopping_since = c->n->stopping_since;
-
-    return !c->nested && stopping_since &&
-           c->arrived - stopping_since > STOP_REFUSE_AFTER_US;
-}
-
 /* A request counts for the retry budget whether it is sent or not. */
 static void
 count_attempt(const Call *c)
@@ -268,7 +256,7 @@
     }
     inherit_parent(c, &a);
     count_attempt(c);
-    if (is_refused_by_stop(c)) {
+    if (!c->nested && !SpStop_AdmitsNew(&n->stop, c->arrived)) {
         refuse(c, SP_LEAVING);
         return;
     }
@@ -312,6 +300,18 @@
     }
 }
 
+void
+fail_all_calls(Relay *n, SpKind k)
+{
+    Call *c;
+
+    while ((c = g_queue_peek_head(&n->calls)) != NULL) {
+        c->maybe_ran |= c->target != NULL;
+        cancel_attempt(c);
+        refuse_or_fail(c, k);
+    }
+}
+
 int
 listen_callers(Relay *n, GError **err)
 {
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -25,8 +25,10 @@
     FRAME_GET_CONFIG, /* request for the configuration, no fields */
     FRAME_CONFIG,     /* the text of the configuration */
     FRAME_DIGEST,     /* digest of the members: asks for those that differ */
-    FRAME_MEMBERS, /* digest, 1 if an answer is wanted, list of members: name,
-                      link address, zone, service, start */
+    FRAME_MEMBERS,  /* digest, 1 if an answer is wanted, list of members: name,
+                       link address, zone, service, start */
+    FRAME_STOPPING, /* time by which the calls of the sender on this link have
+                       to be answered */
     FRAME_NTYPES
 } FrameType;
 
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -17,9 +17,6 @@
 #define RESEND_SLACK_US (5 * SP_SEC)
 /* Minimum remaining time passed to the instance. */
 #define MIN_LEFT_MS 1
-/* For this long after the start of a stop the node accepts requests as
-   before. */
-#define STOP_ACCEPT_ALL_US (2000 * SP_MS)
 
 static int64_t
 drain_end(const Relay *n)
@@ -51,14 +48,14 @@
 static SpAcceptState
 accept_state(const Relay *n, int64_t now)
 {
-    int64_t stopping = n->stopping_since ? now - n->stopping_since : 0;
+    SpAcceptState accepts = SpStop_Accepts(&n->stop, now);
 
-    if (unavailable_kind(n, now) != SP_OK || stopping > SP_STOP_NOTICE_US) {
+    if (unavailable_kind(n, now) != SP_OK) {
         return SP_ACCEPT_NONE;
     }
-    return n->inst.leaving_since || stopping > STOP_ACCEPT_ALL_US
+    return n->inst.leaving_since && accepts == SP_ACCEPT_ALL
                ? SP_ACCEPT_LAST_RESORT
-               : SP_ACCEPT_ALL;
+               : accepts;
 }
 
 Load
@@ -278,7 +275,7 @@
     j->req.user = j;
     j->req.rank = o->rank;
     j->req.nested = o->nested;
-    j->req.deadline = now + o->left_us;
+    j->req.deadline = MIN(now + o->left_us, answer_by(n));
     j->node.data = j;
     g_strlcpy(j->id, o->id, sizeof j->id);
     g_queue_push_tail_link(&n->jobs, &j->node);
@@ -366,6 +363,24 @@
     }
 }
 
+void
+limit_job(Job *j, int64_t deadline)
+{
+    if (j->req.queued) {
+        j->req.deadline = MIN(j->req.deadline, deadline);
+    }
+}
+
+void
+limit_waiting(Relay *n, int64_t deadline)
+{
+    GList *k;
+
+    for (k = n->jobs.head; k; k = k->next) {
+        limit_job(k->data, deadline);
+    }
+}
+
 static void
 refuse_waiting(Relay *n, SpKind why)
 {
--- a/relay/link.c
+++ b/relay/link.c
@@ -196,6 +196,22 @@
     }
 }
 
+int
+has_unsent(const Relay *n)
+{
+    guint i;
+
+    for (i = 0; i < n->links->conns->len; i++) {
+        const LinkConn *conn = g_ptr_array_index(n->links->conns, i);
+        if (conn->connected &&
+            (conn->out->len || uv_stream_get_write_queue_size(
+                                   (const uv_stream_t *)&conn->tcp))) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 static int
 handle_frame(void *ctx, FrameType type, FrameIn *f)
 {
@@ -225,6 +241,8 @@
         return handle_digest(conn, f);
     case FRAME_MEMBERS:
         return handle_members(conn, f);
+    case FRAME_STOPPING:
+        return handle_stopping(conn, f);
     case FRAME_NTYPES:
         break;
     }
--- a/relay/link.h
+++ b/relay/link.h
@@ -135,6 +135,7 @@
 int handle_call(LinkConn *conn, FrameIn *f);
 int handle_answer(LinkConn *conn, FrameIn *f);
 int handle_cancel(LinkConn *conn, FrameIn *f);
+int handle_stopping(LinkConn *conn, FrameIn *f);
 /* drop_jobs drops the jobs of a lost connection: their answers could not be
    delivered. */
 void drop_jobs(LinkConn *conn);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -18,20 +18,19 @@
  *   metrics.c   counters and histograms
  *   monitor.c   HTTP endpoint for metrics
  *   settings.c  settings
- *   sprelay.c   start, timer, reload and stop
+ *   stop.c      planned stop
+ *   sprelay.c   start, timer and reload
  */
 #ifndef SP_RELAY_H
 #define SP_RELAY_H
 
 #include "conf/conf.h"
 #include "flow/directory.h"
+#include "flow/stop.h"
 #include "relay/adapter.h"
 #include "relay/metrics.h"
 
 #define SP_RELAY_TICK_US (20 * SP_MS)
-/* Minimum time for which a stopping node continues to serve, so that its
-   callers can switch to another node. */
-#define SP_STOP_NOTICE_US (3200 * SP_MS)
 
 typedef struct SpRelaySettings {
     char name[SP_FLOW_NAME];
@@ -184,7 +183,8 @@
     uint64_t incarnation; /* wall clock at the start, in microseconds */
     uint64_t rand;
     int64_t started;
-    int64_t stopping_since; /* start of the graceful stop; 0: not stopping */
+    SpStop stop;
+    int64_t quiet_since; /* during a stop: nothing in progress since; 0: not */
     int64_t last_tick;
     SpAcceptState announced; /* last announced while stopping */
     const char *file;        /* settings */
@@ -220,6 +220,10 @@
    idempotent continues to its end. */
 void drop_job(Job *j);
 void tick_instance(Relay *n, int64_t now);
+/* limit_waiting lowers the deadline of the jobs that wait in the queue. */
+void limit_waiting(Relay *n, int64_t deadline);
+/* limit_job does so for one job; a run in progress keeps its deadline. */
+void limit_job(Job *j, int64_t deadline);
 /* run_next starts queued jobs up to the limit. */
 void run_next(Relay *n);
 Load local_load(const Relay *n, int64_t now);
@@ -233,6 +237,15 @@
 int listen_callers(Relay *n, GError **err);
 void end_attempt(Call *c, const Result *r);
 void tick_calls(Relay *n, int64_t now);
+/* fail_all_calls ends the calls in progress. */
+void fail_all_calls(Relay *n, SpKind k);
+
+/* stop.c */
+void begin_stop(Relay *n, int signum);
+void tick_stop(Relay *n, int64_t now);
+/* answer_by returns the time by which a target has to have answered what is
+   sent now; INT64_MAX unless the node is being stopped. */
+int64_t answer_by(const Relay *n);
 
 /* link.c, peers.c, remote.c */
 int open_links(Relay *n, GError **err);
@@ -245,6 +258,11 @@
 void cancel_remote_call(Peer *p, uint64_t seq);
 void tick_links(Relay *n, int64_t now);
 void flush_links(Relay *n);
+/* has_unsent returns 1 if bytes wait to be sent on a link. */
+int has_unsent(const Relay *n);
+/* announce_end tells the other nodes by when they have to have answered the
+   calls of this one that they hold. */
+void announce_end(Relay *n, int64_t answer_by);
 /* broadcast_state sends the state of this node to all peers now. */
 void broadcast_state(Relay *n);
 guint count_links(const Relay *n);
--- a/relay/remote.c
+++ b/relay/remote.c
@@ -116,6 +116,43 @@
     return !f->bad;
 }
 
+/* Calls that have not been sent to the instance by then are refused, so that
+   the sender can tell its callers that they have not run. */
+int
+handle_stopping(LinkConn *conn, FrameIn *f)
+{
+    int64_t deadline = SpHttp_Now() + get_int(f);
+    GHashTableIter it;
+    gpointer j;
+
+    if (f->bad) {
+        return 0;
+    }
+    g_hash_table_iter_init(&it, conn->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &j)) {
+        limit_job(j, deadline);
+    }
+    return 1;
+}
+
+void
+announce_end(Relay *n, int64_t answer_by)
+{
+    guint i;
+
+    for (i = 0; i < n->links->conns->len; i++) {
+        LinkConn *conn = g_ptr_array_index(n->links->conns, i);
+        FrameOut f;
+
+        if (!conn->peer || !conn->connected) {
+            continue;
+        }
+        begin_link_frame(&f, conn, FRAME_STOPPING, 1);
+        put_int(&f, answer_by - SpHttp_Now());
+        end_frame(&f);
+    }
+}
+
 int
 handle_answer(LinkConn *conn, FrameIn *f)
 {
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -10,8 +10,6 @@
 #include "relay/relay.h"
 
 #define VERSION "0.2.0"
-/* Part of stop_s reserved for the process to exit. */
-#define STOP_SLACK_US (600 * SP_MS)
 /* Part of retry_ratio that one hop may use, because the retries of the hops of
    a call chain multiply. */
 #define HOP_RATIO_SHARE 0.22
@@ -105,45 +103,12 @@
 {
     int64_t age = SpHttp_Now() - n->started;
 
-    if (n->stopping_since || !n->routes) {
+    if (n->stop.since || !n->routes) {
         return 0;
     }
     return count_links(n) > 0 || age > READY_DELAY_US;
 }
 
-static void
-finish(Relay *n, const char *how)
-{
-    SpLog(SP_LOG_INFO, "stopped",
-          "how=%s calls=%u jobs=%u connections=%d ms=%" PRId64, how,
-          n->calls.length, n->jobs.length, SpHttpServer_Connections(n->http),
-          (SpHttp_Now() - n->stopping_since) / SP_MS);
-    SpLog_Flush(SpHttp_Now());
-    uv_stop(n->loop);
-}
-
-static void
-check_stop(Relay *n, int64_t now)
-{
-    int64_t bound = (int64_t)(n->settings.stop_s * SP_SEC) - STOP_SLACK_US;
-    int64_t age = now - n->stopping_since;
-
-    if (!n->stopping_since) {
-        return;
-    }
-    if (age > SP_STOP_NOTICE_US) {
-        SpHttpServer_CloseIdle(n->http);
-        if (!n->calls.length && !n->jobs.length &&
-            SpHttpServer_Connections(n->http) == 0) {
-            finish(n, "drained");
-            return;
-        }
-    }
-    if (age > bound) {
-        finish(n, "bound");
-    }
-}
-
 /* The slack of the retry budget is shared by all nodes. */
 static void
 update_retry_budgets(Relay *n)
@@ -183,18 +148,6 @@
     n->logged_jobs = n->counters.jobs;
 }
 
-/* During a stop, sends each change of the accept state to the peers. */
-static void
-announce_stop(Relay *n, int64_t now)
-{
-    SpAcceptState accepts = local_load(n, now).accepts;
-
-    if (n->stopping_since && accepts != n->announced) {
-        n->announced = accepts;
-        broadcast_state(n);
-    }
-}
-
 /*
  * Applies the bounds in the settings file to the running process. Changes of
  * names and addresses take effect at the next start. An invalid file changes
@@ -256,7 +209,6 @@
     }
     n->last_tick = now;
     update_retry_budgets(n);
-    announce_stop(n, now);
     tick_store(n, now);
     tick_check(n, now);
     tick_instance(n, now);
@@ -266,7 +218,7 @@
     log_load(n, now);
     tick_reload(n, now);
     SpLog_Flush(now);
-    check_stop(n, now);
+    tick_stop(n, now);
 }
 
 static void
@@ -278,16 +230,7 @@
 static void
 on_signal(uv_signal_t *s, int signum)
 {
-    Relay *n = s->data;
-
-    if (n->stopping_since) {
-        return;
-    }
-    n->stopping_since = SpHttp_Now();
-    SpLog(SP_LOG_INFO, "stopping", "signal=%d calls=%u jobs=%u", signum,
-          n->calls.length, n->jobs.length);
-    SpHttpServer_Drain(n->http);
-    broadcast_state(n);
+    begin_stop(s->data, signum);
 }
 
 static void
--- a/standin/spinst.c
+++ b/standin/spinst.c
@@ -2,7 +2,8 @@
  * spinst: simulates an instance on the users' platform, for tests. It runs a
  * thread for each connection. The end of the path selects the response:
  *
- *   /slow-N    after N ms
+ *   /slow-N    after N ms; 504 at the deadline, if that is sooner
+ *   /size-N    with a body of N KB
  *   /late      the response, and the same again 30 ms later
  *   /extra     the response twice, without a pause
  *   /nolength  body without a length, ended by the close of the connection
@@ -83,12 +84,25 @@
     return g_str_has_suffix(s, end);
 }
 
+/* Returns 0 if the peer closed the connection. */
+static int
+send_all(int fd, const char *p, size_t n)
+{
+    ssize_t sent;
+
+    for (; n > 0; p += sent, n -= (size_t)sent) {
+        sent = send(fd, p, n, MSG_NOSIGNAL);
+        if (sent <= 0) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
 static void
 send_text(int fd, const char *s)
 {
-    if (send(fd, s, strlen(s), MSG_NOSIGNAL) < 0) {
-        return; /* the peer closed the connection */
-    }
+    (void)send_all(fd, s, strlen(s));
 }
 
 static void
@@ -182,12 +196,27 @@
     return 1;
 }
 
+/* Returns the number after a name in the path, or 0. */
+static long
+path_number(const Request *r, const char *name)
+{
+    const char *s = strstr(r->path, name);
+
+    return s ? strtol(s + strlen(name), NULL, 10) : 0;
+}
+
 static char *
 format_response(const Request *r, int status, const char *more, int length)
 {
     char *body = g_strdup_printf("%s %s %s\n", inst.id, r->method, r->path);
+    long kb = path_number(r, "/size-");
     GString *s = g_string_new(NULL);
 
+    if (kb > 0) {
+        g_free(body);
+        body = g_strnfill((gsize)kb * 1024, 'b');
+    }
+
     g_string_printf(s,
                     "HTTP/1.1 %d x\r\nSiskinpond-Attempt-Id: %s\r\n"
                     "Siskinpond-Response-Signature: sig.%s\r\n%s",
@@ -326,20 +355,6 @@
 #define ENDLESS_BLOCK_BYTES 16384
 #define ENDLESS_SLOW_MS 10
 
-static int
-send_all(int fd, const char *p, size_t n)
-{
-    ssize_t sent;
-
-    for (; n > 0; p += sent, n -= (size_t)sent) {
-        sent = send(fd, p, n, MSG_NOSIGNAL);
-        if (sent <= 0) {
-            return 0;
-        }
-    }
-    return 1;
-}
-
 /* Sends until the peer closes the connection. */
 static void
 send_endless(int fd, const Request *r, const EndlessAnswer *e)
@@ -385,15 +400,25 @@
     return NULL;
 }
 
+/* Takes the time that the path says; returns 0 if the deadline ends it. */
+static int
+work(const Request *r)
+{
+    long ms = path_number(r, "/slow-");
+    int whole = r->left_ms <= 0 || ms < r->left_ms;
+
+    sleep_ms((int)(whole ? ms : r->left_ms));
+    return whole;
+}
+
 /* Returns 0 to close the connection. */
 static int
 respond(Conn *c, const Request *r)
 {
     int fd = c->fd;
-    const char *slow = strstr(r->path, "/slow-");
     const EndlessAnswer *endless = find_endless(r->path);
     char *s;
-    int keep_open = 1;
+    int keep_open = 1, status = 200;
 
     if (strcmp(r->path, "/health") == 0) {
         respond_health(c);
@@ -403,8 +428,8 @@
         return 1;
     }
     print_run(r);
-    if (slow) {
-        sleep_ms((int)strtol(slow + 6, NULL, 10));
+    if (!work(r)) {
+        status = 504;
     }
     if (endless) {
         send_endless(fd, r, endless);
@@ -428,8 +453,10 @@
         }
         return 0;
     }
-    s = format_response(r, ends_with(r->path, "/error") ? 500 : 200,
-                        "Keep-Alive: timeout=10\r\n", 1);
+    if (ends_with(r->path, "/error")) {
+        status = 500;
+    }
+    s = format_response(r, status, "Keep-Alive: timeout=10\r\n", 1);
     send_text(fd, s);
     if (ends_with(r->path, "/extra")) {
         send_text(fd, s);
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -45,7 +45,7 @@
 {"name": "$name", "zone": "${ZONE:-z1}", "service": "$service", "interface": "platform",
  "instance": "$ip:7406", "outbound": "$ip:7401", "reports": "$ip:7403",
  "ready": "$ip:7404", "link": "$ip:7405", "metrics": "$ip:7407",
- "store": "$STORE", "report_s": ${REPORT_S:-0.2}, "drain_s": 2, "stop_s": 4,
+ "store": "$STORE", "report_s": ${REPORT_S:-0.2}, "drain_s": 2, "stop_s": ${STOP_S:-4},
  "retry_ratio": 0.2, "retry_slack": 400, "retry_window_s": 10,
  "memory_mb": ${MEMORY_MB:-256}, "first_start": ${FIRST_START:-false}}
 END
--- a/test/flow.c
+++ b/test/flow.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "flow/flow.h"
+#include "flow/stop.h"
 #include "platform/platform.h"
 #include "relay/frame.h"
 #include "test/test.h"
@@ -644,6 +645,30 @@
     g_array_free(rs.list, TRUE);
 }
 
+/* Guards against work that is let in although its answer comes too late. */
+static void
+test_stop(void)
+{
+    SpStop none = {0, 6 * SP_SEC}, s = {10 * SP_SEC, 6 * SP_SEC};
+    int64_t end = SpStop_EndsAt(&s), answer = SpStop_AnswerBy(&s);
+
+    CU_ASSERT_EQUAL(SpStop_AnswerBy(&none), INT64_MAX);
+    CU_ASSERT_EQUAL(SpStop_EndsAt(&none), INT64_MAX);
+    CU_ASSERT(SpStop_AdmitsNew(&none, 100 * SP_SEC));
+    CU_ASSERT_EQUAL(SpStop_Accepts(&none, 100 * SP_SEC), SP_ACCEPT_ALL);
+    CU_ASSERT(end < s.since + s.grace_us && answer < end);
+    /* the last sixth of the grace time begins after 5 s */
+    CU_ASSERT(answer > s.since + 5 * SP_SEC);
+    CU_ASSERT_EQUAL(SpStop_Accepts(&s, s.since + 1 * SP_SEC), SP_ACCEPT_ALL);
+    CU_ASSERT_EQUAL(SpStop_Accepts(&s, s.since + 3 * SP_SEC),
+                    SP_ACCEPT_LAST_RESORT);
+    CU_ASSERT_EQUAL(SpStop_Accepts(&s, s.since + 4 * SP_SEC), SP_ACCEPT_NONE);
+    CU_ASSERT(SpStop_AdmitsNew(&s, s.since + 2 * SP_SEC));
+    CU_ASSERT_FALSE(SpStop_AdmitsNew(&s, s.since + 3 * SP_SEC));
+    CU_ASSERT_FALSE(SpStop_IsNoticed(&s, s.since + 3 * SP_SEC));
+    CU_ASSERT(SpStop_IsNoticed(&s, s.since + 4 * SP_SEC));
+}
+
 const Unit flow_units[] = {
     {"flow", "routes", test_routes},
     {"flow", "split", test_split},
@@ -660,6 +685,7 @@
     {"flow", "paths, rare answers", test_paths_rare_answers},
     {"flow", "retry budget", test_retry_budget},
     {"flow", "retry budget, calls left", test_retry_calls_left},
+    {"flow", "stop", test_stop},
     {"relay", "reals in frames", test_frame_reals},
     {"platform", "config", test_config},
     {"platform", "bad config", test_bad_config},
--- /dev/null
+++ b/test/stop.t
@@ -0,0 +1,55 @@
+# Guards against a planned stop that cuts something off: calls of a running
+# request, requests that wait in another relay's queue.
+STOP_S=6
+. test/fleet.sh
+
+node front-1 front
+node back-1 back
+node leaf-1 rare
+publish 00000001 "$(route order /order/ unsafe 12 0 back)" \
+    "$(route leaf /leaf/ safe 12 1 rare)" >/dev/null
+until_ok 10 served front-1 w1 GET /order/x
+until_ok 10 served back-1 w2 GET /leaf/x
+
+send_for() { # NODE ID METHOD PATH MS: with that time until its deadline
+    printf '%s %s HTTP/1.1\r\nhost: h.example\r\nSiskinpond-Attempt-Id: %s\r\nSiskinpond-Deadline-Ms: %s\r\nconnection: close\r\n\r\n' \
+        "$3" "$4" "$2" "$5" | raw "$(ip_of "$1"):7401" 14 2>/dev/null
+}
+status() { local s; s=$(send_for "$@" | status_of); echo "${s:-cut off}"; }
+
+echo "calls of a request that runs beside the stopping relay:"
+kill "$(cat "$DIR/relay-back-1.pid")"
+sleep 2.8
+send_for front-1 p1 POST /order/slow-2000 6000 >"$DIR/order" &
+pids=$!
+sleep 1.5 # 4.3 s after the signal
+status back-1 p1.1 GET /leaf/slow-1200 6000 >"$DIR/call" &
+pids="$pids $!"
+send_for back-1 p1.2 GET /leaf/slow-4000 6000 >"$DIR/long" &
+pids="$pids $!"
+# shellcheck disable=SC2086
+wait $pids
+echo "the request: $(status_of <"$DIR/order")"
+echo "its call: $(cat "$DIR/call")"
+echo "one that takes longer than the node lives, ended by its target:" \
+    "$(status_of <"$DIR/long"), signed $(grep -c Signature "$DIR/long")"
+until_ok 3 grep -q event=stopped "$DIR/relay-back-1.out"
+relay back-1
+until_ok 10 served front-1 w4 GET /order/x
+
+echo "requests that wait in another relay's queue:"
+pids=""
+for i in $(seq 18); do # 7 of them run at a time
+    status front-1 "q$i" POST /order/slow-2600 12000 >"$DIR/queued-$i" &
+    pids="$pids $!"
+done
+sleep 0.2
+kill "$(cat "$DIR/relay-front-1.pid")"
+# shellcheck disable=SC2086
+wait $pids
+cat "$DIR"/queued-* | sort | uniq -c | tr -s ' '
+ran=0
+for i in $(seq 18); do
+    [ "$(cat "$DIR/queued-$i")" = 503 ] && ran=$((ran + $(runs "q$i")))
+done
+echo "refused, but run: $ran"
