HTTP server: a connection that was just opened is not idle

Cause: SpHttpServer_CloseIdle, called every 20 ms from 3.2 s after the signal on, took a connection without a request as idle from the moment it was accepted. Ruled out: the end of the process (1.3 s later).

Change: a connection is idle 0.2 s after it was opened or its last response was made, and only if its socket holds no unread bytes.

Result: test/stop.t sends a call 0.1 s after its connection was opened: no answer before, 200 now.

--- a/http/http.h
+++ b/http/http.h
@@ -89,7 +89,8 @@
 /* SpHttpServer_Drain makes each connection close after its last pending
  * response. */
 void SpHttpServer_Drain(SpHttpServer *s);
-/* SpHttpServer_CloseIdle closes the connections that have no request. */
+/* SpHttpServer_CloseIdle closes the connections that have had no request for a
+   moment. */
 void SpHttpServer_CloseIdle(SpHttpServer *s);
 /* SpHttpServer_Connections returns the number of open connections. */
 int SpHttpServer_Connections(const SpHttpServer *s);
--- a/http/pool.c
+++ b/http/pool.c
@@ -365,18 +365,8 @@
 static int
 is_closed_or_readable(PoolConn *c)
 {
-    uv_os_fd_t fd;
-    char b;
-    ssize_t n;
-
-    if (SpHttp_Now() - c->since < PEEK_IDLE_US) {
-        return 0;
-    }
-    if (uv_fileno((uv_handle_t *)&c->tcp, &fd) != 0) {
-        return 1;
-    }
-    n = recv(fd, &b, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    return SpHttp_Now() - c->since >= PEEK_IDLE_US &&
+           SpHttp_IsReadable((const uv_handle_t *)&c->tcp);
 }
 
 /* Takes an idle connection that may carry a request with this key; NULL if
--- a/http/priv.h
+++ b/http/priv.h
@@ -45,4 +45,8 @@
    returns 0 if that is within a message. */
 int SpMsgReader_End(SpMsgReader *r);
 
+/* SpHttp_IsReadable returns 1 if bytes, a close or an error of the socket have
+   not been read yet. */
+int SpHttp_IsReadable(const uv_handle_t *h);
+
 #endif
--- a/http/reader.c
+++ b/http/reader.c
@@ -1,6 +1,7 @@
 /* Message parser and helpers shared by the server and the client. */
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <time.h>
 
 #include "http/priv.h"
@@ -335,6 +336,20 @@
     return sent;
 }
 
+int
+SpHttp_IsReadable(const uv_handle_t *h)
+{
+    uv_os_fd_t fd;
+    char b;
+    ssize_t n;
+
+    if (uv_fileno(h, &fd) != 0) {
+        return 1;
+    }
+    n = recv(fd, &b, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 int64_t
 SpHttp_Now(void)
 {
--- a/http/server.c
+++ b/http/server.c
@@ -8,6 +8,9 @@
 /* Time for the client to close a connection after the server has shut down
    its write side. */
 #define LINGER_US (1 * SP_SEC)
+/* Time for the first or next request of a connection to arrive before
+   SpHttpServer_CloseIdle takes the connection as idle. */
+#define CLOSE_IDLE_US (200 * SP_MS)
 #define BACKLOG 1024
 /* Reading that has paused does not resume while this many bytes of responses
    are unsent. */
@@ -399,14 +402,25 @@
     s->draining = 1;
 }
 
+/* Returns 1 if nothing was sent for CLOSE_IDLE_US after the connection was
+   opened or its last response was made. */
+static int
+is_idle(const Conn *c, int64_t now)
+{
+    return !c->reqs.length && !c->in_message && !c->write_shut &&
+           now - c->since > CLOSE_IDLE_US &&
+           !SpHttp_IsReadable((const uv_handle_t *)&c->tcp);
+}
+
 void
 SpHttpServer_CloseIdle(SpHttpServer *s)
 {
+    int64_t now = SpHttp_Now();
     guint i;
 
     for (i = s->conns->len; i > 0; i--) {
         Conn *c = g_ptr_array_index(s->conns, i - 1);
-        if (g_queue_is_empty(&c->reqs) && !c->in_message && !c->write_shut) {
+        if (is_idle(c, now)) {
             c->closing = 1;
             shutdown_conn(c);
         }
--- a/test/stop.t
+++ b/test/stop.t
@@ -1,5 +1,6 @@
 # Guards against a planned stop that cuts something off: calls of a running
-# request, requests that wait in another relay's queue.
+# request, also on a connection that was opened just before, requests that wait
+# in another relay's queue.
 STOP_S=6
 . test/fleet.sh
 
@@ -27,6 +28,13 @@
 pids="$pids $!"
 send_for back-1 p1.2 GET /leaf/slow-4000 6000 >"$DIR/long" &
 pids="$pids $!"
+late_call() { # the request follows 0.1 s after the connection
+    exec 7<>"/dev/tcp/$(ip_of back-1)/7401"
+    sleep 0.1
+    printf 'GET /leaf/x HTTP/1.1\r\nhost: h.example\r\nSiskinpond-Attempt-Id: p1.3\r\nSiskinpond-Deadline-Ms: 3000\r\nconnection: close\r\n\r\n' >&7
+    timeout 3 cat <&7 | status_of
+}
+echo "a connection opened during the stop: $(late_call 2>/dev/null)"
 # shellcheck disable=SC2086
 wait $pids
 echo "the request: $(status_of <"$DIR/order")"
