HTTP server: a slow reader is not cut off during a stop

Cause: the second that a client has to close a connection after its last answer began when the answer was made, not when the client had taken it.

Change: that time, and the time after which an idle connection is closed, begin when the socket has taken the last byte. A client that takes nothing for idle_us is disconnected.

--- a/http/http.h
+++ b/http/http.h
@@ -54,7 +54,8 @@
     size_t header_bytes;
     size_t body_bytes;
     int64_t header_us; /* from the first byte of a head to its last */
-    int64_t idle_us;   /* without a byte, between requests or in a body */
+    int64_t idle_us;   /* without a byte, between requests, in a body, or
+                          taken of a response */
 } SpHttpLimits;
 
 /*
--- a/http/server.c
+++ b/http/server.c
@@ -5,8 +5,8 @@
 
 /* Requests of one connection that may be pending before reading pauses. */
 #define MAX_PIPELINE 64
-/* Time for the client to close a connection after the server has shut down
-   its write side. */
+/* Time for the client to close a connection after it has taken the last
+   response. */
 #define LINGER_US (1 * SP_SEC)
 /* Time for the first or next request of a connection to arrive before
    SpHttpServer_CloseIdle takes the connection as idle. */
@@ -36,7 +36,8 @@
     int write_shut; /* the write side is shut down, or dropped is set */
     int dropped;    /* the handle is closing */
     int read_paused;
-    int64_t shut_at;
+    size_t unsent;   /* bytes of responses that the socket has not accepted */
+    int64_t sent_at; /* when unsent last changed, or the write side was shut */
 } Conn;
 
 struct SpHttpReq {
@@ -110,7 +111,7 @@
         return;
     }
     c->write_shut = 1;
-    c->shut_at = SpHttp_Now();
+    c->sent_at = SpHttp_Now();
     if (uv_shutdown(&c->shutdown_req, (uv_stream_t *)&c->tcp, on_shutdown) !=
         0) {
         drop_conn(c);
@@ -362,11 +363,30 @@
     return 1;
 }
 
+/* Returns 1 while the client has not yet taken what was sent to it. */
+static int
+is_sending(Conn *c, int64_t now)
+{
+    size_t unsent = uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp);
+
+    if (unsent != c->unsent) {
+        c->unsent = unsent;
+        c->sent_at = now;
+    }
+    return unsent > 0;
+}
+
 static void
 check_timeouts(Conn *c, const SpHttpLimits *limits, int64_t now)
 {
+    if (is_sending(c, now)) {
+        if (now - c->sent_at > limits->idle_us) {
+            drop_conn(c);
+        }
+        return;
+    }
     if (c->write_shut) {
-        if (now - c->shut_at > LINGER_US) {
+        if (now - c->sent_at > LINGER_US) {
             drop_conn(c);
         }
         return;
@@ -380,7 +400,8 @@
         reject(c, 408, "");
         send_responses(c);
     }
-    else if (!c->in_message && now - c->since > limits->idle_us) {
+    else if (!c->in_message &&
+             now - MAX(c->since, c->sent_at) > limits->idle_us) {
         c->closing = 1;
         shutdown_conn(c);
     }
@@ -403,12 +424,12 @@
 }
 
 /* Returns 1 if nothing was sent for CLOSE_IDLE_US after the connection was
-   opened or its last response was made. */
+   opened or its last response was taken. */
 static int
 is_idle(const Conn *c, int64_t now)
 {
     return !c->reqs.length && !c->in_message && !c->write_shut &&
-           now - c->since > CLOSE_IDLE_US &&
+           now - MAX(c->since, c->sent_at) > CLOSE_IDLE_US &&
            !SpHttp_IsReadable((const uv_handle_t *)&c->tcp);
 }
 
--- a/test/stop.t
+++ b/test/stop.t
@@ -1,16 +1,20 @@
 # Guards against a planned stop that cuts something off: calls of a running
 # request, also on a connection that was opened just before, requests that wait
-# in another relay's queue.
+# in another relay's queue, answers that a client reads slowly.
 STOP_S=6
 . test/fleet.sh
 
 node front-1 front
 node back-1 back
 node leaf-1 rare
+node big-1 back
+kill -9 "$(cat "$DIR/inst-big-1.pid")" # it only serves clients
 publish 00000001 "$(route order /order/ unsafe 12 0 back)" \
-    "$(route leaf /leaf/ safe 12 1 rare)" >/dev/null
+    "$(route leaf /leaf/ safe 12 1 rare)" \
+    "$(route big /big/ safe 12 1 back)" >/dev/null
 until_ok 10 served front-1 w1 GET /order/x
 until_ok 10 served back-1 w2 GET /leaf/x
+until_ok 10 served big-1 w3 GET /big/x
 
 send_for() { # NODE ID METHOD PATH MS: with that time until its deadline
     printf '%s %s HTTP/1.1\r\nhost: h.example\r\nSiskinpond-Attempt-Id: %s\r\nSiskinpond-Deadline-Ms: %s\r\nconnection: close\r\n\r\n' \
@@ -18,6 +22,19 @@
 }
 status() { local s; s=$(send_for "$@" | status_of); echo "${s:-cut off}"; }
 
+echo "a client reads an answer of 16 MB in 3 s:"
+read_slowly() {
+    exec 7<>"/dev/tcp/$(ip_of big-1)/7401"
+    printf 'GET /big/size-16000 HTTP/1.1\r\nhost: h.example\r\nSiskinpond-Attempt-Id: s1\r\nSiskinpond-Deadline-Ms: 12000\r\n\r\n' >&7
+    for i in 1 2 3; do sleep 1; head -c 4000000 <&7; done
+    timeout 5 cat <&7
+    exec 7<&-
+}
+kill "$(cat "$DIR/relay-big-1.pid")"
+sleep 0.5
+read_slowly | wc -c >"$DIR/slow"
+echo "whole: $([ "$(cat "$DIR/slow")" -gt 16384000 ] && echo yes || cat "$DIR/slow")"
+
 echo "calls of a request that runs beside the stopping relay:"
 kill "$(cat "$DIR/relay-back-1.pid")"
 sleep 2.8
