Routes: a table of prefixes in place of a sort for every route

Cause: SpRoutes_Add sorted all routes of a host for each route it added, with two strlen a comparison.

Change: a table of prefixes for each host; a path is looked up by its parts that end with a slash, at most 255 bytes of it. Related: a traffic_split over nine services wrote past an array and made the configuration unusable; a split may have any number of parts.

Unit tests: wide split (the old code wrote past its array), many routes.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -20,19 +20,17 @@
 /*
  * Routes: the routing configuration in force.
  */
-#define SP_MAX_SPLIT_TARGETS 8
-
 typedef struct SpSplitTarget {
-    char service[SP_FLOW_NAME];
+    const char *service;
     double weight;
     double credit; /* state of the smooth weighted round robin */
 } SpSplitTarget;
 
 typedef struct SpPathRoute {
-    char name[SP_FLOW_NAME];
-    char host[256];
-    char prefix[256]; /* begins and ends with a slash */
-    SpSplitTarget parts[SP_MAX_SPLIT_TARGETS];
+    const char *name;
+    const char *host;
+    const char *prefix; /* begins and ends with a slash */
+    SpSplitTarget *parts;
     int nparts;
     int idempotent;
     int attempts; /* instances that may receive one request */
@@ -41,6 +39,9 @@
     int64_t aim_us; /* target latency; 0: none */
 } SpPathRoute;
 
+/* Maximum length of a prefix. */
+#define SP_PREFIX_BYTES 255
+
 typedef struct SpRouteLimits {
     int64_t header_bytes, body_bytes;
     int64_t header_us, idle_us;
@@ -57,8 +58,9 @@
 typedef struct SpRoutes {
     uint64_t version;
     SpRouteLimits limits;
-    GHashTable *hosts;    /* name to GPtrArray of SpPathRoute, longest prefix
-                             first */
+    SpArena *arena; /* of the routes */
+    guint nroutes;
+    GHashTable *hosts;    /* name to a table of prefix to SpPathRoute */
     GHashTable *services; /* name to SpServiceConf */
     char *text;           /* the document as published */
     size_t text_len;
@@ -68,9 +70,11 @@
 SpRoutes *SpRoutes_New(uint64_t version);
 SpRoutes *SpRoutes_Ref(SpRoutes *rs);
 void SpRoutes_Unref(SpRoutes *rs);
-/* SpRoutes_Add stores a copy of *r. */
+/* SpRoutes_Add stores a copy of *r; a second route with the host and prefix of
+   another is never found. */
 void SpRoutes_Add(SpRoutes *rs, const SpPathRoute *r);
-/* SpRoutes_Find ignores a port in host; NULL if no route matches. */
+/* SpRoutes_Find returns the route with the longest prefix of the path; NULL if
+   none matches. It ignores a port in host and a query in path. */
 SpPathRoute *SpRoutes_Find(const SpRoutes *rs, const char *host,
                            const char *path);
 guint SpRoutes_Count(const SpRoutes *rs);
--- a/flow/routes.c
+++ b/flow/routes.c
@@ -3,12 +3,6 @@
 
 #include "flow/flow.h"
 
-static void
-free_list(gpointer p)
-{
-    g_ptr_array_free(p, TRUE);
-}
-
 SpRoutes *
 SpRoutes_New(uint64_t version)
 {
@@ -16,8 +10,9 @@
 
     rs->version = version;
     rs->refs = 1;
-    rs->hosts =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_list);
+    rs->arena = SpArena_New();
+    rs->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                      (GDestroyNotify)g_hash_table_unref);
     rs->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return rs;
@@ -38,19 +33,12 @@
     }
     g_hash_table_destroy(rs->hosts);
     g_hash_table_destroy(rs->services);
+    SpArena_Free(rs->arena);
     g_free(rs->text);
     g_free(rs);
 }
 
-static gint
-compare_prefix_length(gconstpointer a, gconstpointer b)
-{
-    const SpPathRoute *x = *(SpPathRoute *const *)a;
-    const SpPathRoute *y = *(SpPathRoute *const *)b;
-    size_t nx = strlen(x->prefix), ny = strlen(y->prefix);
-
-    return nx < ny ? 1 : nx > ny ? -1 : 0;
-}
+#define HOST_BYTES 256
 
 static void
 normalize_host(char *to, size_t n, const char *host)
@@ -63,53 +51,90 @@
     to[i] = '\0';
 }
 
+static GHashTable *
+prefixes_of(SpRoutes *rs, const char *host)
+{
+    GHashTable *prefixes = g_hash_table_lookup(rs->hosts, host);
+
+    if (!prefixes) {
+        prefixes = g_hash_table_new(g_str_hash, g_str_equal);
+        g_hash_table_insert(rs->hosts, SpArena_Str(rs->arena, host), prefixes);
+    }
+    return prefixes;
+}
+
+static SpSplitTarget *
+copy_parts(SpArena *a, const SpPathRoute *r)
+{
+    size_t bytes = (size_t)r->nparts * sizeof *r->parts;
+    SpSplitTarget *parts = SpArena_Alloc(a, bytes);
+    int i;
+
+    memcpy(parts, r->parts, bytes);
+    for (i = 0; i < r->nparts; i++) {
+        parts[i].service = SpArena_Str(a, parts[i].service);
+    }
+    return parts;
+}
+
 void
 SpRoutes_Add(SpRoutes *rs, const SpPathRoute *r)
 {
-    SpPathRoute *copy = g_memdup2(r, sizeof *r);
-    char host[sizeof r->host];
-    GPtrArray *list;
+    SpPathRoute *copy = SpArena_Alloc(rs->arena, sizeof *copy);
+    char host[HOST_BYTES];
+    GHashTable *prefixes;
 
+    *copy = *r;
     normalize_host(host, sizeof host, r->host);
-    list = g_hash_table_lookup(rs->hosts, host);
-    if (!list) {
-        list = g_ptr_array_new_with_free_func(g_free);
-        g_hash_table_insert(rs->hosts, g_strdup(host), list);
+    prefixes = prefixes_of(rs, host);
+    copy->name = SpArena_Str(rs->arena, r->name);
+    copy->host = NULL; /* the key of its table */
+    copy->prefix = SpArena_Str(rs->arena, r->prefix);
+    copy->parts = copy_parts(rs->arena, r);
+    rs->nroutes++;
+    if (!g_hash_table_contains(prefixes, copy->prefix)) {
+        g_hash_table_insert(prefixes, (gpointer)copy->prefix, copy);
     }
-    g_ptr_array_add(list, copy);
-    g_ptr_array_sort(list, compare_prefix_length);
 }
 
-SpPathRoute *
-SpRoutes_Find(const SpRoutes *rs, const char *host, const char *path)
+/* Tries each part of the path that ends with a slash, the longest first, so
+   that the time depends on the path only. */
+static SpPathRoute *
+find_prefix(GHashTable *prefixes, const char *path)
 {
-    char name[sizeof((SpPathRoute *)0)->host];
-    GPtrArray *list;
-    guint i;
-
-    normalize_host(name, sizeof name, host);
-    list = g_hash_table_lookup(rs->hosts, name);
-    for (i = 0; list && i < list->len; i++) {
-        SpPathRoute *r = g_ptr_array_index(list, i);
-        if (strncmp(path, r->prefix, strlen(r->prefix)) == 0) {
+    char prefix[SP_PREFIX_BYTES + 1];
+    size_t n = MIN(strcspn(path, "?"), SP_PREFIX_BYTES);
+    SpPathRoute *r;
+
+    memcpy(prefix, path, n);
+    for (; n > 0; n--) {
+        if (prefix[n - 1] != '/') {
+            continue;
+        }
+        prefix[n] = '\0';
+        r = g_hash_table_lookup(prefixes, prefix);
+        if (r) {
             return r;
         }
     }
     return NULL;
 }
 
+SpPathRoute *
+SpRoutes_Find(const SpRoutes *rs, const char *host, const char *path)
+{
+    char name[HOST_BYTES];
+    GHashTable *prefixes;
+
+    normalize_host(name, sizeof name, host);
+    prefixes = g_hash_table_lookup(rs->hosts, name);
+    return prefixes ? find_prefix(prefixes, path) : NULL;
+}
+
 guint
 SpRoutes_Count(const SpRoutes *rs)
 {
-    GHashTableIter it;
-    gpointer list;
-    guint n = 0;
-
-    g_hash_table_iter_init(&it, rs->hosts);
-    while (g_hash_table_iter_next(&it, NULL, &list)) {
-        n += ((GPtrArray *)list)->len;
-    }
-    return n;
+    return rs->nroutes;
 }
 
 void
--- a/test/flow.c
+++ b/test/flow.c
@@ -16,15 +16,11 @@
 static SpPathRoute
 make_route(const char *name, const char *host, const char *prefix)
 {
-    SpPathRoute r;
-
-    memset(&r, 0, sizeof r);
-    g_strlcpy(r.name, name, sizeof r.name);
-    g_strlcpy(r.host, host, sizeof r.host);
-    g_strlcpy(r.prefix, prefix, sizeof r.prefix);
-    r.nparts = 1;
-    g_strlcpy(r.parts[0].service, "s", sizeof r.parts[0].service);
-    r.parts[0].weight = 1;
+    static SpSplitTarget part = {"s", 1, 0};
+    SpPathRoute r = {
+        .name = name, .host = host, .prefix = prefix, .nparts = 1};
+
+    r.parts = &part;
     return r;
 }
 
@@ -48,6 +44,9 @@
                            "short");
     CU_ASSERT_PTR_NULL(SpRoutes_Find(rs, "one.example", "/a"));
     CU_ASSERT_PTR_NULL(SpRoutes_Find(rs, "three.example", "/a/"));
+    CU_ASSERT_PTR_NULL(SpRoutes_Find(rs, "one.example", "/?/a/"));
+    CU_ASSERT_STRING_EQUAL(
+        SpRoutes_Find(rs, "one.example", "/a/x?q=/a/b/")->name, "short");
     SpRoutes_Ref(rs);
     SpRoutes_Unref(rs);
     CU_ASSERT_EQUAL(rs->version, 7);
@@ -57,13 +56,12 @@
 static void
 test_split(void)
 {
+    SpSplitTarget parts[] = {{"s", 90, 0}, {"t", 10, 0}};
     SpPathRoute r = make_route("r", "h", "/");
     int i, first = 0;
 
+    r.parts = parts;
     r.nparts = 2;
-    r.parts[0].weight = 90;
-    g_strlcpy(r.parts[1].service, "t", sizeof r.parts[1].service);
-    r.parts[1].weight = 10;
     for (i = 0; i < 1000; i++) {
         first += strcmp(SpPathRoute_NextService(&r), "s") == 0;
     }
@@ -494,7 +492,9 @@
         "{\"version\":\"0000000g\",\"routes\":{\"columns\":[],\"rows\":[]}}",
         "{\"version\":\"0000000c\",\"routes\":{" COLUMNS ",\"rows\":[[]]}}",
         "{\"version\":\"0000000c\",\"routes\":{" COLUMNS ",\"rows\":["
-        "[\"a\",\"h\",\"/x/\",\"safe\",1,1,1,null,2,[]]]}}"};
+        "[\"a\",\"h\",\"/x/\",\"safe\",1,1,1,null,2,[]]]}}",
+        "{\"version\":\"0000000c\",\"routes\":{" COLUMNS ",\"rows\":["
+        "[\"a\",\"h\",\"/x\",\"safe\",1,1,1,\"s\",2,null]]}}"};
     char *error;
     size_t i;
 
@@ -505,6 +505,63 @@
     }
 }
 
+/* Guards against writing past the parts of a route: a split may have any
+   number of services. */
+static void
+test_wide_split(void)
+{
+    GString *s = g_string_new("{\"version\":\"0000000c\",\"routes\":{" COLUMNS
+                              ",\"rows\":[[\"a\",\"h\",\"/x/\",\"safe\",1,1,"
+                              "1,null,2,[");
+    char *error;
+    SpRoutes *rs;
+    SpPathRoute *r;
+    int i;
+
+    for (i = 0; i < 40; i++) {
+        g_string_append_printf(s, "%s{\"service\":\"s%d\",\"weight\":1}",
+                               i ? "," : "", i);
+    }
+    g_string_append(s, "]]]},\"limits\":{}}");
+    rs = parse_config(s->str, &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(rs);
+    r = SpRoutes_Find(rs, "h", "/x/");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+    CU_ASSERT_EQUAL(r->nparts, 40);
+    for (i = 0; i < 40; i++) {
+        char name[8];
+        g_snprintf(name, sizeof name, "s%d", i);
+        CU_ASSERT_STRING_EQUAL(SpPathRoute_NextService(r), name);
+    }
+    SpRoutes_Unref(rs);
+    g_string_free(s, TRUE);
+}
+
+/* Guards against a relay that stands still while it reads a configuration or
+   looks for a route: the number of routes and of the path's parts counts. */
+static void
+test_many_routes(void)
+{
+    SpRoutes *rs = SpRoutes_New(1);
+    char name[16], prefix[16], path[16384];
+    SpPathRoute r = make_route(name, "h", prefix), *found;
+    int i;
+
+    for (i = 0; i < 20000; i++) {
+        g_snprintf(name, sizeof name, "r%d", i);
+        g_snprintf(prefix, sizeof prefix, "/%d/", i);
+        SpRoutes_Add(rs, &r);
+    }
+    CU_ASSERT_EQUAL(SpRoutes_Count(rs), 20000);
+    found = SpRoutes_Find(rs, "h", "/19999/x");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(found);
+    CU_ASSERT_STRING_EQUAL(found->name, "r19999");
+    memset(path, '/', sizeof path - 1);
+    path[sizeof path - 1] = '\0';
+    CU_ASSERT_PTR_NULL(SpRoutes_Find(rs, "h", path));
+    SpRoutes_Unref(rs);
+}
+
 static int
 report(const char *target, const char *body, SpReport *r)
 {
@@ -689,6 +746,8 @@
     {"relay", "reals in frames", test_frame_reals},
     {"platform", "config", test_config},
     {"platform", "bad config", test_bad_config},
+    {"platform", "wide split", test_wide_split},
+    {"flow", "many routes", test_many_routes},
     {"platform", "report", test_report},
     {"platform", "bad report", test_bad_report},
     {"platform", "records", test_records},
--- a/test/sptest.c
+++ b/test/sptest.c
@@ -19,7 +19,10 @@
     if (argc >= 2 && strcmp(argv[1], "soak") == 0) {
         return run_soak(argc - 1, argv + 1);
     }
-    fprintf(stderr, "usage: sptest unit | run FILE | load FILE | "
+    if (argc == 2 && strcmp(argv[1], "routes") == 0) {
+        return run_routes();
+    }
+    fprintf(stderr, "usage: sptest unit | run FILE | load FILE | routes | "
                     "soak [-s SEED] [-n SCHEDULES] [-v]\n");
     return 2;
 }
--- a/test/test.h
+++ b/test/test.h
@@ -22,5 +22,7 @@
 int run_load(const char *file);
 /* soak.c: runs random fault schedules; returns the exit status */
 int run_soak(int argc, char **argv);
+/* routes.c: prints the cost of reading configurations; returns 0 */
+int run_routes(void);
 
 #endif
