Relay: time limits are judged after the sockets have been read

Cause: a relay that had stood still itself took its peers for silent and closed its links at the next tick, with their answers unread in the sockets.

Change: the tick after such a time judges nothing; the next one does, when the sockets have been read. The silence of a link counts from then on.

--- a/relay/link.c
+++ b/relay/link.c
@@ -55,11 +55,19 @@
                : SP_STATE_IDLE_US;
 }
 
+/* The time for which the link has been silent beyond the expected one. While
+   this process stood still it heard nothing. */
+static int64_t
+silence_us(const LinkConn *conn, int64_t now)
+{
+    return now - MAX(conn->received_at, conn->n->woke_at) -
+           expected_silence_us(conn, now);
+}
+
 int
 is_suspect(const LinkConn *conn, int64_t now)
 {
-    return now - conn->received_at >
-           expected_silence_us(conn, now) + SP_SUSPECT_US;
+    return silence_us(conn, now) > SP_SUSPECT_US;
 }
 
 void
@@ -287,13 +295,13 @@
 tick_conn(LinkConn *conn, int64_t now)
 {
     if (!conn->connected) {
-        if (now - conn->received_at > CONNECT_TIMEOUT_US) {
+        if (now - MAX(conn->received_at, conn->n->woke_at) >
+            CONNECT_TIMEOUT_US) {
             close_conn(conn, "connect-timeout");
         }
         return;
     }
-    if (now - conn->received_at >
-        expected_silence_us(conn, now) + SILENCE_SLACK_US) {
+    if (silence_us(conn, now) > SILENCE_SLACK_US) {
         close_conn(conn, "silent");
         return;
     }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -186,6 +186,8 @@
     SpStop stop;
     int64_t quiet_since; /* during a stop: nothing in progress since; 0: not */
     int64_t last_tick;
+    int64_t woke_at; /* end of the last time for which the process stood still;
+                        0: it never did */
     SpAcceptState announced; /* last announced while stopping */
     const char *file;        /* settings */
     int64_t file_mtime, file_checked_at;
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -198,16 +198,33 @@
     n->file_mtime = at;
 }
 
+/* Returns 1 if the process stood still before this tick. Time limits are then
+   judged at the next one, after the sockets have been read: what arrived
+   meanwhile is in time. */
+static int
+has_just_woken(Relay *n, int64_t now)
+{
+    int64_t stall = stall_us(n);
+    int again = n->last_tick == n->woke_at;
+
+    n->last_tick = now;
+    if (!stall) {
+        return 0;
+    }
+    SpLog(SP_LOG_WARN, "stood-still", "ms=%" PRId64, stall / SP_MS);
+    n->woke_at = now;
+    return !again;
+}
+
 static void
 on_tick(uv_timer_t *t)
 {
     Relay *n = t->data;
     int64_t now = SpHttp_Now();
 
-    if (stall_us(n)) {
-        SpLog(SP_LOG_WARN, "stood-still", "ms=%" PRId64, stall_us(n) / SP_MS);
+    if (has_just_woken(n, now)) {
+        return;
     }
-    n->last_tick = now;
     update_retry_budgets(n);
     tick_store(n, now);
     tick_check(n, now);
