Store: silent connections are noticed within three seconds

Cause: a long read lasted 4 s and was given 2 s more, on all followers alike, and the call after it could go on an idle connection that was silent too.

Change: the followers of a zone end their long reads in turn, by the wall clock, 2 s apart, with as many calls as before. A read has failed 0.6 s after its end, 2 s while the store is slow; then idle connections are closed and the next call follows at once. spstore can make its open connections silent.

--- a/http/http.h
+++ b/http/http.h
@@ -98,6 +98,8 @@
 int SpHttpServer_Connections(const SpHttpServer *s);
 
 const SpMsg *SpHttpReq_Msg(const SpHttpReq *r);
+/* SpHttpReq_OpenedAt returns the time at which its connection was accepted. */
+int64_t SpHttpReq_OpenedAt(const SpHttpReq *r);
 void SpHttpReq_SetData(SpHttpReq *r, void *data);
 void *SpHttpReq_Data(const SpHttpReq *r);
 /*
--- a/http/server.c
+++ b/http/server.c
@@ -35,7 +35,8 @@
     SpHttpServer *s;
     Listener *l;
     SpMsgReader r;
-    GQueue reqs;    /* of SpHttpReq, oldest first */
+    GQueue reqs; /* of SpHttpReq, oldest first */
+    int64_t opened_at;
     int64_t since;  /* start of the idle time or of the head being read, or
                        time of the last bytes of the body being read */
     int in_message; /* a request has been read in part */
@@ -346,7 +347,7 @@
     c->r.max_head = l->s->limits.header_bytes;
     c->r.max_body = l->s->limits.body_bytes;
     c->r.memory = l->s->memory;
-    c->since = SpHttp_Now();
+    c->since = c->opened_at = SpHttp_Now();
     g_queue_init(&c->reqs);
     g_ptr_array_add(l->s->conns, c);
     if (uv_accept(st, (uv_stream_t *)&c->tcp) != 0) {
@@ -533,6 +534,12 @@
     return r->msg;
 }
 
+int64_t
+SpHttpReq_OpenedAt(const SpHttpReq *r)
+{
+    return r->c->opened_at;
+}
+
 void
 SpHttpReq_SetData(SpHttpReq *r, void *data)
 {
--- a/relay/store.c
+++ b/relay/store.c
@@ -14,7 +14,15 @@
 #include "relay/relay.h"
 
 #define CALL_TIMEOUT_US (2 * SP_SEC)
-#define LONG_READ_MS 4000
+/* The followers of a zone end their long reads in turn, each once in this
+   period, so that one of them soon notices a connection that has gone silent.
+ */
+#define READ_PERIOD_MS 4000
+#define READ_MIN_MS 200
+/* A long read that is not answered this long after its end has failed. As the
+   store may be slow, the time is CALL_TIMEOUT_US after a failure, until an
+   answer comes in time. */
+#define READ_SLACK_US (600 * SP_MS)
 /* Number of nodes of a zone that follow the configuration in the store; the
    others receive it from their peers. */
 #define FOLLOWERS 2
@@ -63,6 +71,7 @@
     int64_t deadline; /* deadline of the call in progress */
     int64_t next_at;  /* earliest start of the next call */
     int64_t backoff_us;
+    int64_t slack_us; /* for the answer of a long read after its end */
     int failing;
     void (*start)(struct Task *t);
     /* returns 0 if the answer is unusable */
@@ -88,6 +97,9 @@
         return;
     }
     t->failing = failing;
+    if (failing) {
+        t->slack_us = CALL_TIMEOUT_US;
+    }
     SpLog(failing ? SP_LOG_WARN : SP_LOG_INFO,
           failing ? "store-lost" : "store-back", "task=%s why=%s status=%d",
           t->name, why, status);
@@ -118,6 +130,9 @@
     }
     set_failing(t, 0, "ok", m->status);
     t->backoff_us = BACKOFF_MIN_US;
+    if (SpHttp_Now() - (t->deadline - t->slack_us) < READ_SLACK_US) {
+        t->slack_us = READ_SLACK_US;
+    }
 }
 
 static void
@@ -140,7 +155,9 @@
             t->x = NULL;
             t->s->failed++;
             set_failing(t, 1, "timeout", 0);
-            back_off(t);
+            /* the other connections may have gone silent too; the time-out was
+               delay enough before a call on a new one */
+            SpPool_CloseIdle(t->s->pool);
         }
         return;
     }
@@ -359,10 +376,22 @@
           "version=%" PRIu64, n->routes ? n->routes->version : 0);
 }
 
+/* Time until this node's turn to end its long read, by the wall clock. */
+static int
+read_wait_ms(const Relay *n)
+{
+    int64_t turn = count_followers(n) % FOLLOWERS * READ_PERIOD_MS / FOLLOWERS;
+    int64_t wall_ms = g_get_real_time() / SP_MS;
+    int wait = (int)(READ_PERIOD_MS - (wall_ms + turn) % READ_PERIOD_MS);
+
+    return wait < READ_MIN_MS ? wait + READ_PERIOD_MS : wait;
+}
+
 static void
 start_config(Task *t)
 {
     Relay *n = t->s->n;
+    int wait_ms = read_wait_ms(n);
     GString *s;
 
     if (n->routes && SpHttp_Now() - n->started < FOLLOW_DELAY_US) {
@@ -377,8 +406,8 @@
     }
     else if (t->step == STEP_FOLLOW) {
         n->adapter->write_read(s, n->settings.store, SP_STREAM_CONFIG,
-                               t->offset, LONG_READ_MS);
-        send_call(t, CALL_FOLLOW, s, LONG_READ_MS * SP_MS + CALL_TIMEOUT_US);
+                               t->offset, wait_ms);
+        send_call(t, CALL_FOLLOW, s, wait_ms * SP_MS + t->slack_us);
     }
     g_string_free(s, TRUE);
 }
@@ -460,6 +489,7 @@
     t->start = start;
     t->handle = handle;
     t->backoff_us = BACKOFF_MIN_US;
+    t->slack_us = READ_SLACK_US;
 }
 
 int
--- a/standin/spstore.c
+++ b/standin/spstore.c
@@ -60,6 +60,7 @@
     GQueue slow_pages; /* of SlowPage, in the order of at */
     Mode mode;
     size_t page_items;
+    int64_t mute_before; /* connections opened before this are silent */
     int writes, reads;
 } store = {.page_items = MAX_ITEMS};
 
@@ -335,12 +336,25 @@
     reply_json(r, 200, "{\"first\":%" PRId64 "}", t->first);
 }
 
+/* Makes the open connections silent; the reads on them are not answered. */
+static void
+mute(void)
+{
+    store.mute_before = SpHttp_Now();
+    g_ptr_array_set_size(store.pending_reads, 0);
+    g_queue_clear(&store.slow_pages);
+}
+
 static void
 set_mode(SpHttpReq *r, const SpMsg *m)
 {
     char *name = query_param(m, "mode");
     size_t i;
 
+    if (g_strcmp0(name, "mute") == 0) {
+        mute();
+    }
+
     for (i = 0; name && i < G_N_ELEMENTS(mode_names); i++) {
         if (strcmp(name, mode_names[i]) == 0) {
             store.mode = (Mode)i;
@@ -373,7 +387,8 @@
         reply_json(r, 503, "{\"error\":\"down\"}");
         return;
     }
-    if (store.mode == MODE_SILENT) {
+    if (store.mode == MODE_SILENT ||
+        SpHttpReq_OpenedAt(r) < store.mute_before) {
         return;
     }
     t = get_topic(m);
--- a/test/routes.c
+++ b/test/routes.c
@@ -85,7 +85,7 @@
 int
 run_routes(void)
 {
-    static const int counts[] = {350, 1400, 5600, 22400};
+    static const int counts[] = {350, 1400, 3800, 5600, 22400};
     size_t i;
 
     for (i = 0; i < G_N_ELEMENTS(counts); i++) {
