Links: nodes that were given up are tried again

Cause: after 60 s without a connection a relay gives a node up; once both sides have done so nobody dials, and neither the list nor gossip names it as newer.

Change: once a second a relay dials a random one of the nodes it gave up; the first answer makes it dial all of them again. The cost does not depend on their number.

--- a/relay/link.h
+++ b/relay/link.h
@@ -76,8 +76,9 @@
     int64_t requested_at;
     int refresh; /* 1: choose the subset again at the next tick */
     int64_t refreshed_at;
-    GByteArray *state;     /* the last state sent, without its frame */
-    uint64_t state_number; /* of that state; increases with each change */
+    int64_t gone_dialed_at; /* when a node that was given up was last tried */
+    GByteArray *state;      /* the last state sent, without its frame */
+    uint64_t state_number;  /* of that state; increases with each change */
     int64_t state_at;
     GPtrArray *rumors; /* names of members to pass on */
     int64_t digest_at; /* when the next digest is sent */
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -3,8 +3,12 @@
 
 #include "relay/link.h"
 
-/* Connection attempts to an address stop after this time without success. */
+/* A node that was not reached for this long is given up: it gets no share of
+   the links, and is tried rarely. */
 #define RECONNECT_LIMIT_US (60 * SP_SEC)
+/* Interval at which one of the nodes that were given up is tried again: the
+   cost does not depend on their number. */
+#define GONE_DIAL_US (1 * SP_SEC)
 /* Interval at which the subset is chosen again if nothing has changed. */
 #define REFRESH_US (1 * SP_SEC)
 /* A service is in use for this long after the last request to it. */
@@ -223,14 +227,78 @@
     s->used_at = now;
 }
 
+/* Tries all nodes that were given up again: the cut that separated them may
+   have ended. */
+static void
+revive_gone(const Relay *n)
+{
+    SpDirectoryIter it = {0};
+    SpNodeInfo *m;
+    int revived = 0;
+
+    while ((m = SpDirectory_Next(n->directory, &it)) != NULL) {
+        revived += m->gone;
+        m->gone = 0;
+    }
+    SpLog(SP_LOG_INFO, "peers-revived", "nodes=%d", revived);
+}
+
 void
 mark_reachable(Relay *n, const char *name)
 {
     SpNodeInfo *m = SpDirectory_Get(n->directory, name);
 
-    if (m && (m->unreachable || m->gone)) {
-        m->unreachable = m->gone = 0;
-        n->links->refresh = 1;
+    if (!m || (!m->unreachable && !m->gone)) {
+        return;
+    }
+    m->unreachable = 0;
+    if (m->gone) {
+        revive_gone(n);
+    }
+    n->links->refresh = 1;
+}
+
+/* Returns a random one of the nodes that were given up; NULL if there are
+   none. */
+static const SpNodeInfo *
+pick_gone(Relay *n)
+{
+    const SpNodeInfo *picked = NULL;
+    SpDirectoryIter it = {0};
+    SpNodeInfo *m;
+    uint64_t seen = 0;
+
+    while ((m = SpDirectory_Next(n->directory, &it)) != NULL) {
+        if (m->gone && SpRand(&n->rand) % ++seen == 0) {
+            picked = m;
+        }
+    }
+    return picked;
+}
+
+/* Opens a link to a node that was given up. If it answers, it is no longer
+   taken as gone (mark_reachable). */
+static void
+dial_gone(Relay *n, int64_t now)
+{
+    const SpNodeInfo *m;
+    Peer *p;
+
+    if (now - n->links->gone_dialed_at < GONE_DIAL_US) {
+        return;
+    }
+    n->links->gone_dialed_at = now;
+    m = pick_gone(n);
+    if (!m) {
+        return;
+    }
+    p = find_peer(n, m->addr);
+    if (!p) {
+        p = new_peer(n, m->addr, now);
+        g_strlcpy(p->name, m->name, sizeof p->name);
+    }
+    if (!p->conn) {
+        connect_peer(p);
     }
 }
 
@@ -295,6 +363,7 @@
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         tick_peer(p, now);
     }
+    dial_gone(n, now);
     tick_config_requests(n, now);
     tick_gossip(n, now);
 }
