Tests: relay.t waits for both links; no copy of zero bytes

relay.t went on when one instance served, so that "reset by both instances" could find one only (traced in the review).

--- a/http/reader.c
+++ b/http/reader.c
@@ -137,7 +137,9 @@
     r->head_done = 1;
     bytes = r->headers->len * sizeof(SpHeader);
     list = SpArena_Alloc(m->arena, bytes + 1);
-    memcpy(list, r->headers->data, bytes);
+    if (bytes) {
+        memcpy(list, r->headers->data, bytes);
+    }
     m->headers = list;
     m->nheaders = (int)r->headers->len;
     m->target = SpArena_Dup(m->arena, r->target->str, r->target->len);
--- a/test/relay.t
+++ b/test/relay.t
@@ -12,6 +12,8 @@
 node back-2 back
 echo "published: $(publish 00000001 "$SAFE" "$ONCE" "$SHORT")"
 until_ok 10 served front-1 warm GET /safe/warm
+linked() { [ "$(metric front-1 sp_nodes_linked)" -ge 2 ]; }
+until_ok 10 linked # to both instances of the service
 echo "ready: $(ready front-1)"
 
 try() { # LABEL ID ARGS...
