--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(OUT)/spinst: $(OUT)/standin/answers.o $(OUT)/standin/instnet.o
 $(OUT)/spstore $(OUT)/spinst: $(OUT)/%: $(OUT)/standin/%.o \
 		$(patsubst %.c,$(OUT)/%.o,$(wildcard http/*.c)) $(OUT)/libsp.a
 	@echo ld $@
--- /dev/null
+++ b/standin/inst.h
@@ -0,0 +1,55 @@
+/* inst: declarations shared by the files of spinst. */
+#ifndef SP_STANDIN_INST_H
+#define SP_STANDIN_INST_H
+
+#include <signal.h>
+
+#include "base/base.h"
+
+#define INST_HEAD_BYTES 65536
+
+/* Options and state of the instance. */
+typedef struct Inst {
+    const char *addr, *id, *service, *zone, *control;
+    int slots;
+    int report_ms;
+    long long start_ms;
+    volatile sig_atomic_t draining;
+    int seq;
+    int refuse_checks; /* 1: status checks are refused */
+} Inst;
+
+extern Inst inst;
+
+/* A connection from the relay. */
+typedef struct Conn {
+    int fd;
+    char *late; /* response to be sent again; NULL: none */
+} Conn;
+
+typedef struct Request {
+    char method[16], path[512], id[256], caller[64], expect[64];
+    long left_ms;
+    size_t body;
+} Request;
+
+/* instnet.c: bytes on the connections */
+void sleep_ms(int ms);
+/* send_all returns 0 if the peer closed the connection. */
+int send_all(int fd, const char *p, size_t n);
+void send_text(int fd, const char *s);
+/* reset_on_close makes close send a reset. */
+void reset_on_close(int fd);
+/* read_head reads the head of a request; bytes received after it stay in buf.
+   Returns 0 if the connection ended. */
+int read_head(int fd, char *buf, size_t *len, Request *r);
+/* skip_body returns 0 if the connection ended. */
+int skip_body(int fd, char *buf, size_t *len, size_t body);
+
+/* answers.c */
+void init_answers(void);
+/* respond returns 0 to close the connection. */
+int respond(Conn *c, const Request *r);
+int ends_with(const char *s, const char *end);
+
+#endif
