--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -94,7 +94,7 @@
     local version=$1 rows
     shift
     rows=$(IFS=,; echo "$*")
-    append keyed.op config "{\"version\":\"$version\",\"routes\":{\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\",\"max_attempts\"],\"rows\":[$rows]},\"services\":{\"columns\":[\"name\",\"health_path\"],\"rows\":[[\"front\",\"/health\"],[\"back\",\"/health\"],[\"rare\",\"/health\"]]},\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,\"header_timeout_s\":1,\"idle_timeout_s\":5}}"
+    append keyed.op config "{\"version\":\"$version\",\"routes\":{\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\",\"max_attempts\"],\"rows\":[$rows]},\"services\":{\"columns\":[\"name\",\"health_path\"],\"rows\":[[\"front\",\"/health\"],[\"back\",\"/health\"],[\"rare\",\"/health\"]]},\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":${BODY_BYTES:-100000},\"header_timeout_s\":1,\"idle_timeout_s\":5}}"
 }
 
 store_mode() {
