--- a/standin/answers.c
+++ b/standin/answers.c
@@ -34,9 +34,12 @@
 #include "standin/inst.h"
 
 #define CHECK_MS 300
+/* Stated when connections are not closed. */
+#define DEFAULT_IDLE_S 10
 
 /* ids of /refuse-first that were refused */
 static GHashTable *refused;
+static char keep_alive[64]; /* header line */
 static pthread_mutex_t refused_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_mutex_t print_lock = PTHREAD_MUTEX_INITIALIZER;
 
@@ -44,6 +47,8 @@
 init_answers(void)
 {
     refused = g_hash_table_new(g_str_hash, g_str_equal);
+    g_snprintf(keep_alive, sizeof keep_alive, "Keep-Alive: timeout=%d\r\n",
+               inst.idle_s ? inst.idle_s : DEFAULT_IDLE_S);
 }
 
 int
@@ -311,7 +316,7 @@
     if (ends_with(r->path, "/error")) {
         status = 500;
     }
-    s = format_response(r, status, "Keep-Alive: timeout=10\r\n", 1);
+    s = format_response(r, status, keep_alive, 1);
     send_text(fd, s);
     if (ends_with(r->path, "/extra")) {
         send_text(fd, s);
--- a/standin/inst.h
+++ b/standin/inst.h
@@ -13,6 +13,7 @@
     const char *addr, *id, *service, *zone, *control;
     int slots;
     int report_ms;
+    int idle_s; /* idle connections are closed after this time; 0: never */
     long long start_ms;
     volatile sig_atomic_t draining;
     int seq;
@@ -47,6 +48,7 @@
 int skip_body(int fd, char *buf, size_t *len, size_t body);
 
 /* answers.c */
+/* init_answers is called once the options have been read. */
 void init_answers(void);
 /* respond returns 0 to close the connection. */
 int respond(Conn *c, const Request *r);
--- a/standin/spinst.c
+++ b/standin/spinst.c
@@ -5,7 +5,9 @@
  *
  * It sends a heartbeat to the control address every REPORT_MS (or -r MS). On
  * SIGTERM it reports that it is draining, continues to serve for DRAIN_MS,
- * deregisters and exits. With -H status checks are refused.
+ * deregisters and exits. With -H status checks are refused. With -k S it
+ * closes connections that are idle for S seconds, as its Keep-Alive header
+ * says.
  */
 #include <arpa/inet.h>
 #include <getopt.h>
@@ -16,6 +18,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include "standin/inst.h"
@@ -33,7 +36,9 @@
     char *buf = g_malloc0(INST_HEAD_BYTES);
     size_t len = 0;
     Request r;
+    struct timeval idle = {.tv_sec = inst.idle_s};
 
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &idle, sizeof idle);
     while (keep_open && read_head(fd, buf, &len, &r)) {
         if (c.late) {
             send_text(fd, c.late);
@@ -146,9 +151,8 @@
     pthread_t thread;
 
     inst.slots = 8;
-    init_answers();
     inst.report_ms = REPORT_MS;
-    while ((c = getopt(argc, argv, "l:i:s:z:c:n:b:r:H")) != -1) {
+    while ((c = getopt(argc, argv, "l:i:s:z:c:n:b:r:k:H")) != -1) {
         switch (c) {
         case 'l':
             inst.addr = optarg;
@@ -171,6 +175,9 @@
         case 'r':
             inst.report_ms = (int)strtol(optarg, NULL, 10);
             break;
+        case 'k':
+            inst.idle_s = (int)strtol(optarg, NULL, 10);
+            break;
         case 'H':
             inst.refuse_checks = 1;
             break;
@@ -185,9 +192,10 @@
         !inst.control) {
         fprintf(stderr, "usage: spinst -l ADDR -i ID -s SERVICE -z ZONE"
                         " -c CONTROL [-n SLOTS] [-b START_MS] [-r REPORT_MS]"
-                        " [-H]\n");
+                        " [-k IDLE_S] [-H]\n");
         return 2;
     }
+    init_answers();
     signal(SIGPIPE, SIG_IGN);
     signal(SIGTERM, on_term);
     fd = listen_on(inst.addr);
