--- a/node/admin.h
+++ b/node/admin.h
@@ -1,4 +1,4 @@
-/* Declarations shared by admin.c and console.c. */
+/* Declarations shared by admin.c and the files of the console. */
 #ifndef SP_NODE_ADMIN_H
 #define SP_NODE_ADMIN_H
 
@@ -23,9 +23,22 @@
 char *form_token(const Request *q);
 void refuse_admin(Request *q, int status, const char *why);
 
+/* html.c */
+/* append_escaped appends text with the special characters of HTML escaped. */
+void append_escaped(GString *s, const char *t);
+/* begin_page starts a page; send_page ends it, responds with it and frees s.
+ */
+void begin_page(GString *s, const char *title, const Node *n);
+void send_page(SpWebReq *web, int status, GString *s);
+/* append_diff appends the lines that differ between two texts. */
+void append_diff(GString *s, const char *old, const char *new);
+
 /* console.c */
 void get_console(Request *q);
+
+/* edit.c */
 void get_edit(Request *q);
 void post_edit(Request *q);
+const SpVersion *current_version(const Request *q);
 
 #endif
