Soak: requests sent ahead, late rejections, series of large configurations

None of the review's faults had been found by the soak: its callers sent one request at a time, its instances repeated successful answers only, its store never went silent, and nothing looked at the version in force or at relays that had ended. It now draws all of these, and relays that it strikes are looked at first, so that one that ended by itself is seen.

--- a/test/faults.sh
+++ b/test/faults.sh
@@ -1,6 +1,6 @@
 # faults.sh: a random test of the real programs under injected faults. OUT and
 # TMP are set; SEED and SECONDS_LONG come from the environment. Callers send
-# requests while processes are killed, paused, stopped and restarted and the
+# requests, some of them many ahead on a connection that they leave, while processes are killed, paused, stopped and restarted and the
 # store fails, one fault after the other and several at a time. Then the answers
 # of the callers are checked against the runs that the instances logged, and
 # every front node must serve again. Prints a line for each violation.
@@ -18,13 +18,21 @@
 DURATION=${SECONDS_LONG:-8}
 FRONTS="front-1 front-2"
 BACKS="back-1 back-2 back-3"
-VERSION=1
 START_MS=1000
+BIG_SERIES=14 # configurations, more than one answer of the store holds
+FILLER=$(awk 'BEGIN {for (i = 0; i < 1400; i++)
+    printf ",[\"idle%04d\",\"h.example\",\"/idle%04d/\",\"safe\",2,0.5,1,\"back\",2]", i, i}')
 
-next_version() {
-    VERSION=$((VERSION + 1))
-    publish "$(printf %08x $VERSION)" "$(route safe /safe/ safe 2 1 back)" \
-        "$(route once /once/ unsafe 2 0 back)" >/dev/null
+next_version() { # [FILLER]: writers take turns, so that versions increase
+    (
+        flock 9
+        version=$(($(cat "$DIR/version" 2>/dev/null || echo 1) + 1))
+        echo $version >"$DIR/version"
+        [ "$(publish "$(printf %08x $version)" \
+            "$(route safe /safe/ safe 2 1 back)" \
+            "$(route once /once/ unsafe 2 0 back | sed 's/,2]$/,1]/')${1:-}")" = 200 ] &&
+            echo $version >"$DIR/acked"
+    ) 9>"$DIR/version.lock"
 }
 
 pick() { # WORD...: a random one of them
@@ -44,7 +52,7 @@
         what=$(pick safe once)
         method=GET
         [ $what = once ] && method=POST
-        path=/$what/$id$(pick "" "" "" /slow-60 /refuse /reset /late /extra)
+        path=/$what/$id$(pick "" "" /slow-60 /refuse /slow-60/refuse-first /reset /late /extra /size-300)
         answer=$(send "$(pick $FRONTS)" "$id" $method "$path" 2>/dev/null |
             tr -d '\r')
         echo "$id $what $method $path $(status_of <<<"$answer") $(tail -1 <<<"$answer")" \
@@ -52,6 +60,30 @@
     done
 }
 
+ahead() { # N: sends 1 to 80 requests ahead and leaves, until the end
+    local i k
+    RANDOM=$((SEED * 100 + 50 + $1))
+    for ((i = 0; ; i++)); do
+        [ -e "$DIR/stop" ] && return
+        exec 7<>"/dev/tcp/$(ip_of "$(pick $FRONTS)")/7401" || continue
+        for k in $(seq $((1 + RANDOM % 80))); do
+            printf 'GET /safe/ahead%s HTTP/1.1\r\nhost: h.example\r\nSiskinpond-Attempt-Id: a%s-%s-%s\r\nSiskinpond-Deadline-Ms: 300\r\n\r\n' \
+                "$(pick /slow-60 /hang "")" "$1" "$i" "$k"
+        done >&7
+        sleep "0.$((20 + RANDOM % 15))"
+        exec 7<&- 7>&-
+    done 2>/dev/null
+}
+
+# take NODE: no other fault is to strike its relay; says if it has ended by
+# itself
+take() {
+    mkdir "$DIR/taken-$1" 2>/dev/null || return 1
+    kill -0 "$(pid_of "relay-$1")" 2>/dev/null ||
+        echo "the relay of $1 has ended by itself" >>"$DIR/ended"
+}
+give_back() { rmdir "$DIR/taken-$1"; }
+
 restart_instance() { # NAME: with a new id and start time, at the same address
     START_MS=$((START_MS + 1))
     instance "$1" back "i-$1-$START_MS" $START_MS
@@ -59,24 +91,35 @@
 
 inject_fault() { # one random fault and its repair
     local n
-    case $((RANDOM % 9)) in
+    case $((RANDOM % 11)) in
     0 | 1) # a relay is killed
         n=$(pick $FRONTS $BACKS)
+        take "$n" || return
         kill -9 "$(pid_of "relay-$n")" 2>/dev/null
         sleep_briefly
         relay "$n"
+        give_back "$n"
         ;;
     2) # a planned stop of a relay
         n=$(pick $FRONTS $BACKS)
+        take "$n" || return
         kill "$(pid_of "relay-$n")" 2>/dev/null
         sleep 5 # stop_s is 4
         relay "$n"
+        give_back "$n"
+        ;;
+    3) # a relay is paused
+        n=$(pick $FRONTS $BACKS)
+        take "$n" || return
+        kill -STOP "$(pid_of "relay-$n")" 2>/dev/null
+        sleep_briefly
+        kill -CONT "$(pid_of "relay-$n")" 2>/dev/null
+        give_back "$n"
         ;;
-    3 | 4) # a process is paused
-        n=$(pick relay-front-1 relay-back-1 relay-back-2 inst-back-3)
-        kill -STOP "$(pid_of "$n")" 2>/dev/null
+    4) # an instance is paused
+        kill -STOP "$(pid_of inst-back-3)" 2>/dev/null
         sleep_briefly
-        kill -CONT "$(pid_of "$n")" 2>/dev/null
+        kill -CONT "$(pid_of inst-back-3)" 2>/dev/null
         ;;
     5) # an instance is killed
         n=$(pick $BACKS)
@@ -91,11 +134,15 @@
         restart_instance "$n"
         ;;
     7)
-        store_mode "$(pick down silent lost)"
+        store_mode "$(pick down silent lost mute)"
         sleep_briefly
         store_mode ok
         ;;
-    8)
+    9) # the connections to the store go silent, many changes follow
+        store_mode mute
+        for n in $(seq $BIG_SERIES); do next_version "$FILLER"; done
+        ;;
+    8 | 10)
         next_version
         kill -HUP "$(pid_of "relay-$(pick $FRONTS $BACKS)")" 2>/dev/null
         ;;
@@ -115,8 +162,14 @@
         $2 == "once" && n[$1] > 1 {print "unsafe request ran " n[$1] " times: " $0}
         ($5 == 503 || $5 == 429) && n[$1] > 0 {print "refused but ran: " $0}
         $5 == 200 && !n[$1] {print "answered 200 but never ran: " $0}
-        $5 == 200 && ($7 != $3 || $8 != $4) {print "answer of another request: " $0}'
+        $5 == 200 && $4 !~ /size/ && ($7 != $3 || $8 != $4) {print "answer of another request: " $0}
+        $5 == 200 && $4 ~ /size/ && length($6) != 300 * 1024 {print "answer cut: " $0}'
+    cat "$DIR/ended" 2>/dev/null
+    for n in $FRONTS $BACKS; do
+        kill -0 "$(pid_of "relay-$n")" 2>/dev/null || echo "the relay of $n has ended by itself"
+    done
 }
+has_newest() { [ "$(metric "$1" sp_config_version)" = "$(cat "$DIR/acked")" ]; }
 
 for n in $FRONTS; do node "$n" front; done
 for n in $BACKS; do node "$n" back; done
@@ -127,6 +180,10 @@
     caller $i &
     callers+=" $!"
 done
+for i in 1 2; do
+    ahead $i &
+    callers+=" $!"
+done
 injectors=""
 for i in 1 2; do
     inject_faults $i &
@@ -137,6 +194,10 @@
 wait $callers $injectors
 store_mode ok
 check
+next_version
+for n in $FRONTS $BACKS; do
+    until_ok 3 has_newest "$n" || echo "$n has an older configuration"
+done
 for n in $FRONTS; do
     until_ok 15 served "$n" "end-$n" GET /safe/end || echo "$n does not serve after the faults"
 done
