Relay, HTTP server: names that need no explaining

lower_deadline and lower_queued_deadlines (were limit_job, limit_waiting, next to the limiter), set_read_offset (note_read_on), has_client_left (is_left); the time of quiet in a function in place of a nested condition; a comment on READ_MIN_MS.

--- a/http/server.c
+++ b/http/server.c
@@ -420,7 +420,7 @@
 /* Returns 1 if the client has closed, also while bytes before the close have
    not been read. */
 static int
-is_left(const Conn *c)
+has_client_left(const Conn *c)
 {
     uv_os_fd_t fd;
     struct pollfd p = {.events = POLLRDHUP};
@@ -437,7 +437,7 @@
 static void
 check_paused(Conn *c)
 {
-    if (is_left(c)) {
+    if (has_client_left(c)) {
         drop_conn(c);
         return;
     }
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -366,7 +366,7 @@
 }
 
 void
-limit_job(Job *j, int64_t deadline)
+lower_deadline(Job *j, int64_t deadline)
 {
     if (j->req.queued) {
         j->req.deadline = MIN(j->req.deadline, deadline);
@@ -374,12 +374,12 @@
 }
 
 void
-limit_waiting(Relay *n, int64_t deadline)
+lower_queued_deadlines(Relay *n, int64_t deadline)
 {
     GList *k;
 
     for (k = n->jobs.head; k; k = k->next) {
-        limit_job(k->data, deadline);
+        lower_deadline(k->data, deadline);
     }
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -222,10 +222,11 @@
    idempotent continues to its end. */
 void drop_job(Job *j);
 void tick_instance(Relay *n, int64_t now);
-/* limit_waiting lowers the deadline of the jobs that wait in the queue. */
-void limit_waiting(Relay *n, int64_t deadline);
-/* limit_job does so for one job; a run in progress keeps its deadline. */
-void limit_job(Job *j, int64_t deadline);
+/* lower_deadline lowers the deadline of a job that waits in the queue; a run
+   in progress keeps its own. */
+void lower_deadline(Job *j, int64_t deadline);
+/* lower_queued_deadlines does so for all jobs. */
+void lower_queued_deadlines(Relay *n, int64_t deadline);
 /* run_next starts queued jobs up to the limit. */
 void run_next(Relay *n);
 Load local_load(const Relay *n, int64_t now);
@@ -262,9 +263,9 @@
 void flush_links(Relay *n);
 /* has_unsent returns 1 if bytes wait to be sent on a link. */
 int has_unsent(const Relay *n);
-/* announce_end tells the other nodes by when they have to have answered the
-   calls of this one that they hold. */
-void announce_end(Relay *n, int64_t answer_by);
+/* announce_end tells the other nodes the time by which the calls of this one
+   that they hold have to be answered. */
+void announce_end(Relay *n, int64_t deadline);
 /* broadcast_state sends the state of this node to all peers now. */
 void broadcast_state(Relay *n);
 guint count_links(const Relay *n);
--- a/relay/remote.c
+++ b/relay/remote.c
@@ -130,13 +130,13 @@
     }
     g_hash_table_iter_init(&it, conn->jobs);
     while (g_hash_table_iter_next(&it, NULL, &j)) {
-        limit_job(j, deadline);
+        lower_deadline(j, deadline);
     }
     return 1;
 }
 
 void
-announce_end(Relay *n, int64_t answer_by)
+announce_end(Relay *n, int64_t deadline)
 {
     guint i;
 
@@ -148,7 +148,7 @@
             continue;
         }
         begin_link_frame(&f, conn, FRAME_STOPPING, 1);
-        put_int(&f, answer_by - SpHttp_Now());
+        put_int(&f, deadline - SpHttp_Now());
         end_frame(&f);
     }
 }
--- a/relay/stop.c
+++ b/relay/stop.c
@@ -24,7 +24,7 @@
     SpLog(SP_LOG_INFO, "stopping", "signal=%d calls=%u jobs=%u", signum,
           n->calls.length, n->jobs.length);
     SpHttpServer_Drain(n->http);
-    limit_waiting(n, answer_by(n));
+    lower_queued_deadlines(n, answer_by(n));
     announce_end(n, answer_by(n));
     broadcast_state(n);
 }
@@ -48,6 +48,16 @@
            SpHttpServer_Connections(n->http) == 0;
 }
 
+/* Time since which nothing has been in progress; 0 if something is. */
+static int64_t
+quiet_since(const Relay *n, int64_t now)
+{
+    if (!is_quiet(n)) {
+        return 0;
+    }
+    return n->quiet_since ? n->quiet_since : now;
+}
+
 static void
 finish(Relay *n, const char *how, int64_t now)
 {
@@ -69,9 +79,7 @@
     announce_accepts(n, now);
     if (SpStop_IsNoticed(&n->stop, now)) {
         SpHttpServer_CloseIdle(n->http);
-        n->quiet_since = !is_quiet(n)     ? 0
-                         : n->quiet_since ? n->quiet_since
-                                          : now;
+        n->quiet_since = quiet_since(n, now);
     }
     if (n->quiet_since && now - n->quiet_since >= QUIET_US) {
         finish(n, "drained", now);
--- a/relay/store.c
+++ b/relay/store.c
@@ -18,6 +18,8 @@
    period, so that one of them soon notices a connection that has gone silent.
  */
 #define READ_PERIOD_MS 4000
+/* A read that would end sooner lasts until the next turn: it would only cost a
+   call. */
 #define READ_MIN_MS 200
 /* A long read that is not answered this long after its end has failed. As the
    store may be slow, the time is CALL_TIMEOUT_US after a failure, until an
@@ -437,7 +439,7 @@
 /* The pages are made one after the other: what changes behind the key of a
    page meanwhile is after the end of the log that the first page names. */
 static void
-note_read_on(Task *t, const SpRecords *rs)
+set_read_offset(Task *t, const SpRecords *rs)
 {
     if (t->step == STEP_FOLLOW || !t->after[0]) {
         t->offset = rs->next;
@@ -457,7 +459,7 @@
         ok = t->s->n->adapter->read_read(m, t->offset, &rs);
     }
     if (ok) {
-        note_read_on(t, &rs);
+        set_read_offset(t, &rs);
         apply_newest_config(t->s->n, &rs);
     }
     if (ok && t->step == STEP_NEWEST) {
