--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -144,8 +144,8 @@
         's/from \+ rs->list->len/from + rs->list->len + 2/' &
     unit_mutant early-end flow/stop.c \
         's/EXIT_SLACK_US \(100/EXIT_SLACK_US (1200/' &
-    unit_mutant query-in-prefix flow/routes.c \
-        's/strcspn\(path, "\?"\)/strlen(path)/' &
+    unit_mutant short-prefixes flow/routes.c \
+        's/MIN\(strcspn\(path, "\?"\), SP_PREFIX_BYTES\)/MIN(strcspn(path, "?"), 3)/' &
     wait
     unit_mutant any-status platform/store.c 's/m->status != 200 \|\| n </n </' &
     wait
