--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 RELAYLIBS = -lhttp_parser -luv -lmsgpackc -lm \
 	$(shell pkg-config --libs $(PKGS))
 PROGS = $(addprefix $(OUT)/,sprelay spnode spctl spcall splog spup spload \
-	spstore spinst)
+	spstore spinst spmesh)
 SRC = $(wildcard */*.c)
 HDR = $(wildcard */*.h)
 
@@ -63,7 +63,8 @@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 $(OUT)/spinst: $(OUT)/standin/answers.o $(OUT)/standin/instnet.o
-$(OUT)/spstore $(OUT)/spinst: $(OUT)/%: $(OUT)/standin/%.o \
+$(OUT)/spmesh: $(patsubst %.c,$(OUT)/%.o,$(wildcard standin/mesh*.c))
+$(OUT)/spstore $(OUT)/spinst $(OUT)/spmesh: $(OUT)/%: $(OUT)/standin/%.o \
 		$(patsubst %.c,$(OUT)/%.o,$(wildcard http/*.c)) $(OUT)/libsp.a
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ -lpthread $(RELAYLIBS)
--- a/standin/answers.c
+++ b/standin/answers.c
@@ -15,6 +15,7 @@
  *              the next send is executed
  *   /refuse-bare  503, not executed, without the attempt id
  *   /error     500, executed
+ *   /unstated-N  status N, executed, without a statement
  *   /other     421
  *   /early     sent before the request body is read
  *   /endless-KIND  bytes without end, see endless_answers; /endless-KIND-slow:
@@ -316,6 +317,9 @@
     if (ends_with(r->path, "/error")) {
         status = 500;
     }
+    if (path_number(r, "/unstated-") > 0) {
+        status = (int)path_number(r, "/unstated-");
+    }
     s = format_response(r, status, keep_alive, 1);
     send_text(fd, s);
     if (ends_with(r->path, "/extra")) {
--- /dev/null
+++ b/standin/mesh.h
@@ -0,0 +1,156 @@
+/*
+ * mesh: declarations shared by the files of spmesh, which plays the callers
+ * and the instances of a whole deployment around real relays.
+ *
+ *   spmesh.c    options, start, end
+ *   meshplan.c  the deployment: its file, settings of the relays,
+ * configuration meshproc.c  the relays and the store as processes meshinst.c
+ * instances meshcall.c  callers meshbook.c  record of all requests, and the
+ * rules that are checked meshfault.c faults, drawn from the seed
+ *
+ * Times are in microseconds of SpHttp_Now unless a name says otherwise.
+ */
+#ifndef SP_STANDIN_MESH_H
+#define SP_STANDIN_MESH_H
+
+#include "http/priv.h"
+
+#define MESH_NAME 32
+#define MESH_MAX_ROUTES 16
+#define MESH_MAX_SERVICES 8
+
+typedef struct Mesh Mesh;
+typedef struct Node Node;
+
+typedef struct MeshService {
+    char name[MESH_NAME];
+    int count; /* of its instances */
+    int slots, queue;
+    double speed; /* of the machines' work; 1: as the route says */
+    /* Faults in force: the part of its answers or requests. */
+    double rejects;         /* requests that are rejected */
+    double repeats;         /* answers that are sent again, late */
+    double repeats_at_once; /* answers that are sent twice in a row */
+    double loses;           /* runs whose answer is lost by a reset */
+    double spoils;          /* answers that are cut or no HTTP */
+    double denies; /* runs answered 503, 429 or 408 without a promise */
+} MeshService;
+
+typedef struct MeshRoute {
+    char name[MESH_NAME], method[8];
+    int idempotent;
+    MeshService *service;
+    double per_s; /* requests of callers, all nodes together */
+    int deadline_ms, work_ms;
+    int attempts, rank;
+    double timeout_s;
+    struct MeshRoute *call; /* made by each run; NULL: none */
+} MeshRoute;
+
+/* A relay as a process, and what is beside it. */
+struct Node {
+    Mesh *m;
+    char name[MESH_NAME], zone[MESH_NAME], ip[24];
+    MeshService *service;
+    uv_process_t proc;
+    int running; /* 1: the process exists */
+    int ends;    /* 1: its end is expected */
+    int busy;    /* 1: a fault of its process is in force */
+    int stopped_ms;
+    SpPool *out;     /* callers' connections */
+    SpPool *control; /* reports of its instance */
+    struct Instance *inst;
+};
+
+typedef struct MeshOpts {
+    const char *relay, *store, *plan, *template, *dir;
+    uint64_t seed;
+    double seconds, load; /* load: factor on the rates of the plan */
+    double size;          /* factor on the numbers of instances */
+    const char *faults;   /* names, separated by commas */
+    int injectors;
+    double warm_up_s; /* from the start of the relays to that of the callers */
+} MeshOpts;
+
+struct Mesh {
+    MeshOpts o;
+    uv_loop_t *loop;
+    uint64_t rand;
+    char net[16]; /* the first two bytes of all addresses: "127.N" */
+    MeshService services[MESH_MAX_SERVICES];
+    int nservices;
+    MeshRoute routes[MESH_MAX_ROUTES];
+    int nroutes;
+    int nzones;
+    GPtrArray *nodes; /* of Node */
+    char store_addr[32];
+    SpPool *store; /* the operator's connections */
+    uv_process_t store_proc;
+    uint64_t version;
+    int64_t started; /* start of the callers; 0: not yet */
+    int calm;        /* 1: no further request, no further fault */
+    int own_ends;    /* relays that ended by themselves */
+    double give_up;  /* part of the callers that leave early */
+    double abuse;    /* part of the callers that retry at once, and often */
+    double burst;    /* factor on the rates; 1: none */
+    struct Book *book;
+};
+
+/* meshplan.c */
+/* load_plan returns 0 and sets err if the file is invalid. */
+int load_plan(Mesh *m, GError **err);
+MeshRoute *route_named(Mesh *m, const char *name);
+MeshRoute *route_of_path(Mesh *m, const char *path);
+char *write_settings(const Node *n, GError **err);
+void publish_config(Mesh *m);
+/* set_store_mode selects how the store responds (spstore). */
+void set_store_mode(Mesh *m, const char *mode);
+
+/* meshproc.c */
+int start_store(Mesh *m);
+int start_relay(Node *n);
+void signal_relay(Node *n, int signum);
+/* end_all kills the processes that were started. */
+void end_all(Mesh *m);
+
+/* meshinst.c */
+struct Instance *new_instance(Node *n);
+/* restart_instance ends all connections and runs, and starts a new lifetime.
+ */
+void restart_instance(struct Instance *i);
+/* freeze_instance makes it read and answer nothing until it is thawed. */
+void freeze_instance(struct Instance *i, int frozen);
+/* leave_instance makes it report that it leaves; a later restart ends that. */
+void leave_instance(struct Instance *i);
+void tick_instances(Mesh *m, int64_t now);
+
+/* meshcall.c */
+void tick_callers(Mesh *m, int64_t now);
+int callers_pending(const Mesh *m);
+
+/* meshbook.c */
+struct Book *new_book(void);
+/* Each call names the attempt; node is where it happened. */
+void book_sent(Mesh *m, const char *id, const MeshRoute *rt, const Node *node);
+void book_run(Mesh *m, const char *id, const Node *node, int conn);
+void book_rejected(Mesh *m, const char *id, const Node *node, int conn);
+void book_repeated(Mesh *m, const char *id, const Node *node, int conn,
+                   int rejection);
+/* status: 0 if there was no whole answer */
+void book_answered(Mesh *m, const char *id, int status, const char *why);
+/* book_foreign records a success that names another request. */
+void book_foreign(Mesh *m, const char *id);
+void book_note(Mesh *m, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+/* report_book prints the counts; returns the number of violations. */
+int report_book(Mesh *m);
+
+/* meshfault.c */
+void tick_faults(Mesh *m, int64_t now);
+int check_fault_names(const char *names);
+
+double mesh_unit(Mesh *m);
+int mesh_chance(Mesh *m, double p);
+/* mesh_draw returns a number from 0 to n - 1. */
+int mesh_draw(Mesh *m, int n);
+
+#endif
--- /dev/null
+++ b/standin/meshbook.c
@@ -0,0 +1,251 @@
+/*
+ * Record of spmesh: what callers got and what instances ran. A request that is
+ * not idempotent may run once for each attempt id, and not at all if its
+ * answer promises that it has not run.
+ */
+#include <stdarg.h>
+#include <string.h>
+
+#include "standin/mesh.h"
+
+#define MAX_PRINTED 40 /* violations of one kind */
+
+typedef struct Entry {
+    const MeshRoute *route;
+    int runs, status, answered, foreign;
+    GString *story; /* of a request that is not idempotent */
+} Entry;
+
+typedef struct Book {
+    GHashTable *entries; /* attempt id to Entry */
+    int sent, served, refused, failed, unanswered;
+    int runs, rejections, repeats, repeated_rejections;
+} Book;
+
+static void
+free_entry(gpointer p)
+{
+    Entry *e = p;
+
+    if (e->story) {
+        g_string_free(e->story, TRUE);
+    }
+    g_free(e);
+}
+
+Book *
+new_book(void)
+{
+    Book *b = g_new0(Book, 1);
+
+    b->entries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry);
+    return b;
+}
+
+static int64_t
+run_ms(const Mesh *m)
+{
+    return m->started ? (SpHttp_Now() - m->started) / SP_MS : 0;
+}
+
+void
+book_note(Mesh *m, const char *fmt, ...)
+{
+    va_list ap;
+
+    va_start(ap, fmt);
+    printf("%6" PRId64 " ", run_ms(m));
+    vprintf(fmt, ap);
+    printf("\n");
+    va_end(ap);
+    fflush(stdout);
+}
+
+static Entry *
+entry_of(const Mesh *m, const char *id)
+{
+    return g_hash_table_lookup(m->book->entries, id);
+}
+
+/* Appends a step to the story of a request. */
+static void
+tell(const Mesh *m, Entry *e, const char *what, const Node *n, int conn)
+{
+    if (!e || !e->story) {
+        return;
+    }
+    g_string_append_printf(e->story, " %" PRId64 ":%s", run_ms(m), what);
+    if (n) {
+        g_string_append_printf(e->story, "@%s", n->name);
+    }
+    if (conn) {
+        g_string_append_printf(e->story, "#%d", conn);
+    }
+}
+
+void
+book_sent(Mesh *m, const char *id, const MeshRoute *rt, const Node *node)
+{
+    Entry *e = entry_of(m, id);
+
+    m->book->sent++;
+    if (!e) { /* a run that is repeated makes its calls again */
+        e = g_new0(Entry, 1);
+        e->route = rt;
+        e->story = rt->idempotent ? NULL : g_string_new(NULL);
+        g_hash_table_insert(m->book->entries, g_strdup(id), e);
+    }
+    tell(m, e, "sent", node, 0);
+}
+
+void
+book_run(Mesh *m, const char *id, const Node *node, int conn)
+{
+    Entry *e = entry_of(m, id);
+
+    m->book->runs++;
+    if (!e) {
+        book_note(m, "UNASKED %s at %s", id, node->name);
+        return;
+    }
+    e->runs++;
+    tell(m, e, "run", node, conn);
+}
+
+void
+book_rejected(Mesh *m, const char *id, const Node *node, int conn)
+{
+    m->book->rejections++;
+    tell(m, entry_of(m, id), "rejected", node, conn);
+}
+
+void
+book_repeated(Mesh *m, const char *id, const Node *node, int conn,
+              int rejection)
+{
+    m->book->repeats++;
+    m->book->repeated_rejections += rejection;
+    tell(m, entry_of(m, id), "repeated", node, conn);
+}
+
+void
+book_answered(Mesh *m, const char *id, int status, const char *why)
+{
+    Entry *e = entry_of(m, id);
+    char what[64];
+
+    if (!e) {
+        return;
+    }
+    e->answered = 1;
+    e->status = status;
+    g_snprintf(what, sizeof what, "answer=%d%s%s", status, *why ? "," : "",
+               why);
+    tell(m, e, what, NULL, 0);
+    if (status == 200) {
+        m->book->served++;
+    }
+    else if (status == 503 || status == 429 || status == 408) {
+        m->book->refused++;
+    }
+    else if (status) {
+        m->book->failed++;
+    }
+    else {
+        m->book->unanswered++;
+    }
+}
+
+void
+book_foreign(Mesh *m, const char *id)
+{
+    Entry *e = entry_of(m, id);
+
+    if (e) {
+        e->foreign = 1;
+    }
+}
+
+static int
+is_promise(int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+typedef struct Rule {
+    const char *name;
+    int (*broken)(const Entry *e);
+} Rule;
+
+static int
+ran_twice(const Entry *e)
+{
+    return !e->route->idempotent && e->runs > 1;
+}
+
+static int
+ran_though_refused(const Entry *e)
+{
+    return !e->route->idempotent && e->runs > 0 && is_promise(e->status);
+}
+
+static int
+served_without_run(const Entry *e)
+{
+    return e->status == 200 && e->runs == 0;
+}
+
+static int
+has_foreign_answer(const Entry *e)
+{
+    return e->foreign;
+}
+
+static const Rule rules[] = {{"TWICE", ran_twice},
+                             {"REFUSED", ran_though_refused},
+                             {"NOT-RUN", served_without_run},
+                             {"FOREIGN", has_foreign_answer}};
+
+static int
+check_rule(const Book *b, const Rule *rule)
+{
+    GHashTableIter it;
+    gpointer id, e;
+    int count = 0;
+
+    g_hash_table_iter_init(&it, b->entries);
+    while (g_hash_table_iter_next(&it, &id, &e)) {
+        const Entry *entry = e;
+        if (!rule->broken(entry)) {
+            continue;
+        }
+        if (count++ < MAX_PRINTED) {
+            printf("%s %s %s:%s\n", rule->name, (char *)id, entry->route->name,
+                   entry->story ? entry->story->str : "");
+        }
+    }
+    return count;
+}
+
+int
+report_book(Mesh *m)
+{
+    const Book *b = m->book;
+    int counts[G_N_ELEMENTS(rules)], sum = m->own_ends;
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(rules); i++) {
+        counts[i] = check_rule(b, &rules[i]);
+        sum += counts[i];
+    }
+    printf("sent=%d served=%d refused=%d failed=%d unanswered=%d runs=%d "
+           "rejections=%d repeats=%d repeated_rejections=%d own_ends=%d",
+           b->sent, b->served, b->refused, b->failed, b->unanswered, b->runs,
+           b->rejections, b->repeats, b->repeated_rejections, m->own_ends);
+    for (i = 0; i < G_N_ELEMENTS(rules); i++) {
+        printf(" %s=%d", rules[i].name, counts[i]);
+    }
+    printf("\n");
+    return sum;
+}
--- /dev/null
+++ b/standin/meshcall.c
@@ -0,0 +1,189 @@
+/*
+ * Callers of spmesh: requests at the rates of the plan, each through the relay
+ * of a random node, on kept connections or on a fresh one. A caller leaves at
+ * its deadline. After a refusal it comes back once with a new attempt id, as
+ * Retry-After says; it repeats an idempotent request after any failure.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/mesh.h"
+
+#define EARLY_LEAVE_US (150 * SP_MS)
+#define MAX_WAIT_SHARE 0.33 /* of the time left */
+#define BODY "0123456789abcdef0123456789abcdef"
+
+typedef struct Caller {
+    Mesh *m;
+    const MeshRoute *route;
+    char id[64];
+    int retries_left;
+    int64_t deadline, leave_at, send_at; /* send_at: 0 once it is sent */
+    Node *node;
+    SpExchange *x;
+    GList link; /* in callers.list */
+} Caller;
+
+static struct {
+    GQueue list;
+    uint64_t count;
+    double due[MESH_MAX_ROUTES]; /* requests that are due, in parts of one */
+    int64_t last_tick;
+} callers;
+
+static void
+free_caller(Caller *c)
+{
+    g_queue_unlink(&callers.list, &c->link);
+    g_free(c);
+}
+
+static int64_t
+retry_after_us(const SpMsg *m)
+{
+    const char *s = SpMsg_Header(m, "Retry-After");
+
+    return s ? (int64_t)(strtod(s, NULL) * SP_SEC) : 0;
+}
+
+/* Sends the request again with a new attempt id, or ends it. */
+static void
+come_back(Caller *c, int64_t wait)
+{
+    int64_t now = SpHttp_Now();
+
+    if (c->retries_left <= 0 || c->m->calm || now >= c->deadline) {
+        free_caller(c);
+        return;
+    }
+    c->retries_left--;
+    if (mesh_chance(c->m, c->m->abuse)) {
+        wait = 0;
+    }
+    wait = MIN(wait, (int64_t)((double)(c->deadline - now) * MAX_WAIT_SHARE));
+    c->send_at = now + wait;
+}
+
+static void
+on_answer(void *data, SpPoolStatus end, const SpMsg *m, const char *error)
+{
+    Caller *c = data;
+    const char *id;
+
+    c->x = NULL;
+    if (end != SP_POOL_OK) {
+        book_answered(c->m, c->id, 0, error);
+        come_back(c, c->route->idempotent || end == SP_POOL_NOT_SENT
+                         ? 50 * SP_MS
+                         : SP_SEC * 1000);
+        return;
+    }
+    id = SpMsg_Header(m, "Siskinpond-Attempt-Id");
+    if (m->status == 200 && (!id || strcmp(id, c->id) != 0)) {
+        book_foreign(c->m, c->id);
+    }
+    book_answered(c->m, c->id, m->status, "");
+    if (m->status == 503 || m->status == 429) {
+        come_back(c, retry_after_us(m));
+    }
+    else if (m->status >= 500 && c->route->idempotent) {
+        come_back(c, 0);
+    }
+    else {
+        free_caller(c);
+    }
+}
+
+static void
+send_request(Caller *c, int64_t now)
+{
+    Mesh *m = c->m;
+    SpPoolRequest o = {.done = on_answer, .data = c};
+    char head[512];
+    int with_body = strcmp(c->route->method, "GET") != 0;
+
+    c->send_at = 0;
+    c->node =
+        g_ptr_array_index(m->nodes, (guint)mesh_draw(m, (int)m->nodes->len));
+    g_snprintf(c->id, sizeof c->id, "c%" PRIu64, ++callers.count);
+    g_snprintf(head, sizeof head,
+               "%s /%s/%s HTTP/1.1\r\nHost: h.example\r\n"
+               "Siskinpond-Attempt-Id: %s\r\n"
+               "Siskinpond-Deadline-Ms: %" PRId64 "\r\n%s\r\n",
+               c->route->method, c->route->name, c->id, c->id,
+               MAX((c->deadline - now) / SP_MS, 1),
+               with_body ? "Content-Length: 32\r\n" : "");
+    o.head = head;
+    o.head_len = strlen(head);
+    o.body = BODY;
+    o.body_len = with_body ? strlen(BODY) : 0;
+    o.own_connection = mesh_chance(m, 0.2);
+    book_sent(m, c->id, c->route, c->node);
+    c->x = SpPool_Send(c->node->out, &o);
+}
+
+static void
+add_caller(Mesh *m, const MeshRoute *rt, int64_t now)
+{
+    Caller *c = g_new0(Caller, 1);
+
+    c->m = m;
+    c->route = rt;
+    c->retries_left = mesh_chance(m, m->abuse) ? 4 : 1;
+    c->deadline = now + rt->deadline_ms * SP_MS;
+    c->leave_at =
+        mesh_chance(m, m->give_up) ? now + EARLY_LEAVE_US : c->deadline;
+    c->link.data = c;
+    g_queue_push_tail_link(&callers.list, &c->link);
+    send_request(c, now);
+}
+
+static void
+add_callers(Mesh *m, int64_t now)
+{
+    double s = (double)(now - callers.last_tick) / SP_SEC;
+    int i;
+
+    for (i = 0; i < m->nroutes; i++) {
+        callers.due[i] += m->routes[i].per_s * m->burst * s;
+        for (; callers.due[i] >= 1; callers.due[i] -= 1) {
+            add_caller(m, &m->routes[i], now);
+        }
+    }
+}
+
+void
+tick_callers(Mesh *m, int64_t now)
+{
+    GList *k, *next;
+
+    if (m->started && !m->calm) {
+        callers.last_tick = callers.last_tick ? callers.last_tick : now;
+        add_callers(m, now);
+    }
+    callers.last_tick = now;
+    for (k = callers.list.head; k; k = next) {
+        Caller *c = k->data;
+        next = k->next;
+        if (c->x && now >= MIN(c->leave_at, c->deadline)) {
+            SpExchange_Abort(c->x);
+            book_answered(m, c->id, 0, "left");
+            free_caller(c);
+        }
+        else if (!c->x && now >= c->send_at) {
+            if (now < c->deadline) {
+                send_request(c, now);
+            }
+            else {
+                free_caller(c);
+            }
+        }
+    }
+}
+
+int
+callers_pending(const Mesh *m)
+{
+    (void)m;
+    return (int)callers.list.length;
+}
--- /dev/null
+++ b/standin/meshplan.c
@@ -0,0 +1,377 @@
+/*
+ * The deployment that spmesh plays. Its file has one statement a line; #
+ * starts a comment:
+ *
+ *   zones N
+ *   service NAME COUNT SLOTS QUEUE SPEED
+ *   route NAME KIND SERVICE METHOD PER_S DEADLINE_MS WORK_MS ATTEMPTS RANK
+ *         TIMEOUT_S [CALL]
+ *
+ * CALL names a route above it, which each run calls once.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/mesh.h"
+
+#define RECORD_LENGTH_BYTES 4
+#define CONNECT_US (1 * SP_SEC)
+#define IDLE_US (10 * SP_SEC)
+#define BODY_BYTES ((size_t)1 << 20)
+
+static MeshService *
+service_named(Mesh *m, const char *name)
+{
+    int i;
+
+    for (i = 0; i < m->nservices; i++) {
+        if (strcmp(m->services[i].name, name) == 0) {
+            return &m->services[i];
+        }
+    }
+    return NULL;
+}
+
+MeshRoute *
+route_named(Mesh *m, const char *name)
+{
+    int i;
+
+    for (i = 0; i < m->nroutes; i++) {
+        if (strcmp(m->routes[i].name, name) == 0) {
+            return &m->routes[i];
+        }
+    }
+    return NULL;
+}
+
+MeshRoute *
+route_of_path(Mesh *m, const char *path)
+{
+    char name[MESH_NAME];
+    size_t n = strcspn(path + 1, "/");
+
+    if (path[0] != '/' || n >= sizeof name) {
+        return NULL;
+    }
+    g_strlcpy(name, path + 1, n + 1);
+    return route_named(m, name);
+}
+
+static int
+parse_service(Mesh *m, char **w, guint n)
+{
+    MeshService *s = &m->services[m->nservices];
+
+    if (n != 6 || m->nservices == MESH_MAX_SERVICES) {
+        return 0;
+    }
+    m->nservices++;
+    g_strlcpy(s->name, w[1], sizeof s->name);
+    s->count = MAX(2, (int)(strtod(w[2], NULL) * m->o.size + 0.5));
+    s->slots = (int)strtol(w[3], NULL, 10);
+    s->queue = (int)strtol(w[4], NULL, 10);
+    s->speed = strtod(w[5], NULL);
+    return s->slots > 0 && s->speed > 0;
+}
+
+static int
+parse_route(Mesh *m, char **w, guint n)
+{
+    MeshRoute *rt = &m->routes[m->nroutes];
+
+    if (n < 11 || n > 12 || m->nroutes == MESH_MAX_ROUTES) {
+        return 0;
+    }
+    g_strlcpy(rt->name, w[1], sizeof rt->name);
+    rt->idempotent = strcmp(w[2], "safe") == 0;
+    rt->service = service_named(m, w[3]);
+    g_strlcpy(rt->method, w[4], sizeof rt->method);
+    rt->per_s = strtod(w[5], NULL) * m->o.load;
+    rt->deadline_ms = (int)strtol(w[6], NULL, 10);
+    rt->work_ms = (int)strtol(w[7], NULL, 10);
+    rt->attempts = (int)strtol(w[8], NULL, 10);
+    rt->rank = (int)strtol(w[9], NULL, 10);
+    rt->timeout_s = strtod(w[10], NULL);
+    rt->call = n == 12 ? route_named(m, w[11]) : NULL;
+    m->nroutes++;
+    return rt->service && (n == 11 || rt->call);
+}
+
+static int
+parse_line(Mesh *m, char *line)
+{
+    char **all, **w;
+    guint n, k;
+    int ok;
+
+    line[strcspn(line, "#")] = '\0';
+    all = g_strsplit_set(g_strstrip(line), " \t", -1);
+    w = g_new0(char *, g_strv_length(all) + 1);
+    for (k = n = 0; all[k]; k++) {
+        if (all[k][0]) {
+            w[n++] = all[k];
+        }
+    }
+    if (n == 0) {
+        ok = 1;
+    }
+    else if (strcmp(w[0], "zones") == 0 && n == 2) {
+        m->nzones = (int)strtol(w[1], NULL, 10);
+        ok = m->nzones > 0;
+    }
+    else if (strcmp(w[0], "service") == 0) {
+        ok = parse_service(m, w, n);
+    }
+    else {
+        ok = strcmp(w[0], "route") == 0 && parse_route(m, w, n);
+    }
+    g_free(w);
+    g_strfreev(all);
+    return ok;
+}
+
+static SpPool *
+new_pool(const Mesh *m, const char *addr)
+{
+    SpPoolOpts o = {.connect_us = CONNECT_US,
+                    .idle_us = IDLE_US,
+                    .body_bytes = BODY_BYTES};
+
+    g_strlcpy(o.addr, addr, sizeof o.addr);
+    return SpPool_New(m->loop, &o);
+}
+
+static void
+add_node(Mesh *m, MeshService *s, int k)
+{
+    Node *n = g_new0(Node, 1);
+    guint number = m->nodes->len + 1;
+    char addr[32];
+
+    n->m = m;
+    n->service = s;
+    g_snprintf(n->name, sizeof n->name, "%s-%d", s->name, k);
+    g_snprintf(n->zone, sizeof n->zone, "z%u", number % (guint)m->nzones);
+    g_snprintf(n->ip, sizeof n->ip, "%s.%u.%u", m->net, number / 200,
+               number % 200 + 1);
+    g_snprintf(addr, sizeof addr, "%s:8304", n->ip);
+    n->out = new_pool(m, addr);
+    g_snprintf(addr, sizeof addr, "%s:8306", n->ip);
+    n->control = new_pool(m, addr);
+    g_ptr_array_add(m->nodes, n);
+    n->inst = new_instance(n);
+}
+
+int
+load_plan(Mesh *m, GError **err)
+{
+    char *text, **lines;
+    int i, k, ok = 1;
+
+    if (!g_file_get_contents(m->o.plan, &text, NULL, err)) {
+        return 0;
+    }
+    lines = g_strsplit(text, "\n", -1);
+    for (i = 0; ok && lines[i]; i++) {
+        ok = parse_line(m, lines[i]);
+    }
+    if (!ok || !m->nzones || !m->nroutes) {
+        g_set_error(err, SP_ERROR, SP_ERROR_INPUT, "%s:%d: not understood",
+                    m->o.plan, i);
+        ok = 0;
+    }
+    g_strfreev(lines);
+    g_free(text);
+    g_snprintf(m->store_addr, sizeof m->store_addr, "%s.250.1:8309", m->net);
+    m->store = new_pool(m, m->store_addr);
+    for (i = 0; ok && i < m->nservices; i++) {
+        for (k = 0; k < m->services[i].count; k++) {
+            add_node(m, &m->services[i], k);
+        }
+    }
+    return ok;
+}
+
+/* What the platform fills into the template of the relay's settings. */
+static void
+fill_field(GString *s, const Node *n, const char *field)
+{
+    static const struct {
+        const char *field, *value;
+    } fixed[] = {
+        {"heartbeat_s", "1.5"},        {"bounds.drain_s", "2"},
+        {"bounds.grace_s", "6"},       {"bounds.retry_budget_ratio", "0.2"},
+        {"bounds.budget_slack", "49"}, {"bounds.budget_window_s", "10"},
+        {"limits.memory_mb", "260"},   {"bootstrap", "true"},
+        {"internal_ports.0", "7620"}};
+    static const struct {
+        const char *field;
+        int port;
+    } ports[] = {{"app_addr", 8301},
+                 {"listen.outbound", 8304},
+                 {"listen.inbound", 8300},
+                 {"listen.control", 8306},
+                 {"listen.ready", 8302}};
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(fixed); i++) {
+        if (strcmp(fixed[i].field, field) == 0) {
+            g_string_append(s, fixed[i].value);
+        }
+    }
+    for (i = 0; i < G_N_ELEMENTS(ports); i++) {
+        if (strcmp(ports[i].field, field) == 0) {
+            g_string_append_printf(s, "\"%s:%d\"", n->ip, ports[i].port);
+        }
+    }
+    if (strcmp(field, "ip") == 0) {
+        g_string_append(s, n->ip);
+    }
+    else if (strcmp(field, "node") == 0) {
+        g_string_append_printf(s, "\"%s\"", n->name);
+    }
+    else if (strcmp(field, "zone") == 0) {
+        g_string_append_printf(s, "\"%s\"", n->zone);
+    }
+    else if (strcmp(field, "service") == 0) {
+        g_string_append_printf(s, "\"%s\"", n->service->name);
+    }
+    else if (strcmp(field, "platform.address") == 0) {
+        g_string_append_printf(s, "\"%s\"", n->m->store_addr);
+    }
+}
+
+char *
+write_settings(const Node *n, GError **err)
+{
+    char *text, *file, *p, *open, *end;
+    GString *s = g_string_new(NULL);
+
+    if (!g_file_get_contents(n->m->o.template, &text, NULL, err)) {
+        return NULL;
+    }
+    for (p = text; (open = strstr(p, "{{")) && (end = strstr(open, "}}"));
+         p = end + 2) {
+        g_string_append_len(s, p, open - p);
+        *end = '\0';
+        open[2 + strcspn(open + 2, "|")] = '\0';
+        fill_field(s, n, open + 2);
+    }
+    g_string_append(s, p);
+    file = g_strdup_printf("%s/%s.json", n->m->o.dir, n->name);
+    if (!g_file_set_contents(file, s->str, (gssize)s->len, err)) {
+        g_free(file);
+        file = NULL;
+    }
+    g_string_free(s, TRUE);
+    g_free(text);
+    return file;
+}
+
+static void
+on_published(void *data, SpPoolStatus end, const SpMsg *m, const char *error)
+{
+    Mesh *mesh = data;
+
+    book_note(mesh, "configuration %" PRIx64 ": %s", mesh->version,
+              end == SP_POOL_OK ? SpHttp_Reason(m->status) : error);
+}
+
+/* Every other configuration sends some routes to another service, and may
+   change how many instances a request may be sent to. */
+static const MeshService *
+service_for(Mesh *m, MeshRoute *rt)
+{
+    if (rt->per_s <= 0 || m->version == 1) {
+        return rt->service;
+    }
+    rt->attempts = 1 + mesh_draw(m, 3);
+    return mesh_chance(m, 0.3) ? &m->services[mesh_draw(m, m->nservices)]
+                               : rt->service;
+}
+
+static GString *
+write_config(Mesh *m)
+{
+    GString *s = g_string_new(NULL);
+    int i;
+
+    g_string_append_printf(
+        s,
+        "{\"version\":\"%08" PRIx64 "\",\"routes\":{\"columns\":[\"name\","
+        "\"host\",\"path_prefix\",\"kind\",\"timeout_s\",\"aim_s\","
+        "\"priority\",\"service\",\"max_attempts\"],\"rows\":[",
+        m->version);
+    for (i = 0; i < m->nroutes; i++) {
+        MeshRoute *rt = &m->routes[i];
+        g_string_append_printf(
+            s,
+            "%s[\"%s\",\"h.example\",\"/%s/\",\"%s\",%.3f,0.5,%d,\"%s\",%d]",
+            i ? "," : "", rt->name, rt->name,
+            rt->idempotent ? "safe" : "unsafe", rt->timeout_s, rt->rank,
+            service_for(m, rt)->name, rt->attempts);
+    }
+    g_string_append(s, "]},\"services\":{\"columns\":[\"name\",\"health_path\""
+                       "],\"rows\":[");
+    for (i = 0; i < m->nservices; i++) {
+        g_string_append_printf(s, "%s[\"%s\",\"/health\"]", i ? "," : "",
+                               m->services[i].name);
+    }
+    g_string_append(s, "]},\"limits\":{\"max_header_bytes\":16384,\"max_body_"
+                       "bytes\":1000000,\"header_timeout_s\":3,\"idle_timeout_"
+                       "s\":15}}");
+    return s;
+}
+
+static void
+on_mode_set(void *data, SpPoolStatus end, const SpMsg *m, const char *error)
+{
+    (void)data;
+    (void)end;
+    (void)m;
+    (void)error;
+}
+
+void
+set_store_mode(Mesh *m, const char *mode)
+{
+    SpPoolRequest o = {.done = on_mode_set, .data = m, .own_connection = 1};
+    char head[128];
+
+    g_snprintf(head, sizeof head,
+               "PUT /standin?mode=%s HTTP/1.1\r\nHost: store\r\n\r\n", mode);
+    o.head = head;
+    o.head_len = strlen(head);
+    SpPool_Send(m->store, &o);
+}
+
+void
+publish_config(Mesh *m)
+{
+    static const char key[] = "config";
+    GString *value, *body, *head;
+    SpPoolRequest o = {.done = on_published, .data = m};
+    guint32 n;
+
+    m->version += m->version ? 1 + (uint64_t)mesh_draw(m, 3) : 1;
+    value = write_config(m);
+    n = GUINT32_TO_BE((guint32)(1 + strlen(key) + value->len));
+    body = g_string_new_len((const char *)&n, RECORD_LENGTH_BYTES);
+    g_string_append_c(body, (char)strlen(key));
+    g_string_append(body, key);
+    g_string_append_len(body, value->str, (gssize)value->len);
+    head = g_string_new(NULL);
+    g_string_printf(head,
+                    "POST /log-append?topic=keyed.op&part=0 HTTP/1.1\r\n"
+                    "Host: store\r\nContent-Length: %zu\r\n\r\n",
+                    body->len);
+    o.head = head->str;
+    o.head_len = head->len;
+    o.body = body->str;
+    o.body_len = body->len;
+    SpPool_Send(m->store, &o);
+    g_string_free(head, TRUE);
+    g_string_free(body, TRUE);
+    g_string_free(value, TRUE);
+}
--- /dev/null
+++ b/standin/spmesh.c
@@ -0,0 +1,236 @@
+/*
+ * spmesh: plays the callers and the instances of a whole deployment around
+ * real relays, injects faults that are drawn from a seed, and checks what the
+ * callers got against what the instances ran. It starts the relays and the
+ * store, and ends only what it started. All traffic stays on loopback.
+ *
+ * Exit status: 0 if no rule is broken, 1 if one is, 2 if it could not run.
+ */
+#include <getopt.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include "standin/mesh.h"
+
+#define TICK_MS 5
+/* From the last request to the report. */
+#define SETTLE_US (9 * SP_SEC)
+
+static const char all_faults[] =
+    "kill,freeze,stop,herd,instance-crash,instance-freeze,leave,reject,reject,"
+    "repeat,late-rejections,late-rejections,repeat-at-once,lose,spoil,deny,"
+    "give-up,abuse,burst,hup,config,store";
+
+static Mesh mesh;
+static uv_timer_t timer;
+static int64_t began, calm_since;
+
+double
+mesh_unit(Mesh *m)
+{
+    m->rand ^= m->rand << 13;
+    m->rand ^= m->rand >> 7;
+    m->rand ^= m->rand << 17;
+    return (double)(m->rand >> 11) / (double)(UINT64_C(1) << 53);
+}
+
+int
+mesh_chance(Mesh *m, double p)
+{
+    return p > 0 && mesh_unit(m) < p;
+}
+
+int
+mesh_draw(Mesh *m, int n)
+{
+    return (int)(mesh_unit(m) * n);
+}
+
+static void
+tick_pools(const Mesh *m, int64_t now)
+{
+    guint i;
+
+    for (i = 0; i < m->nodes->len; i++) {
+        const Node *n = g_ptr_array_index(m->nodes, i);
+        SpPool_Tick(n->out, now);
+        SpPool_Tick(n->control, now);
+    }
+    SpPool_Tick(m->store, now);
+}
+
+static void
+on_tick(uv_timer_t *t)
+{
+    int64_t now = SpHttp_Now();
+
+    (void)t;
+    if (!mesh.version && now - began > SP_SEC / 2) {
+        publish_config(&mesh);
+    }
+    if (!mesh.started && (double)(now - began) > mesh.o.warm_up_s * SP_SEC) {
+        mesh.started = now;
+    }
+    if (mesh.started && !mesh.calm &&
+        (double)(now - mesh.started) > mesh.o.seconds * SP_SEC) {
+        mesh.calm = 1;
+        calm_since = now;
+    }
+    tick_instances(&mesh, now);
+    tick_callers(&mesh, now);
+    if (mesh.started) {
+        tick_faults(&mesh, now);
+    }
+    tick_pools(&mesh, now);
+    if (mesh.calm && now - calm_since > SETTLE_US) {
+        uv_stop(mesh.loop);
+    }
+}
+
+/* Ends early: nothing that was started is left behind. */
+static void
+on_signal(uv_signal_t *s, int signum)
+{
+    (void)s;
+    (void)signum;
+    uv_stop(mesh.loop);
+}
+
+static void
+catch_signals(void)
+{
+    static const int signums[] = {SIGTERM, SIGINT};
+    static uv_signal_t signals[G_N_ELEMENTS(signums)];
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(signums); i++) {
+        uv_signal_init(mesh.loop, &signals[i]);
+        uv_signal_start(&signals[i], on_signal, signums[i]);
+    }
+}
+
+static int
+usage(void)
+{
+    fprintf(stderr,
+            "usage: spmesh -r SPRELAY -p PLAN -t TEMPLATE -S SPSTORE -d DIR\n"
+            "  [-s SEED] [-n SECONDS] [-l LOAD] [-z SIZE] [-j INJECTORS]\n"
+            "  [-f FAULT,...] [-w WARM_UP_SECONDS]\n"
+            "  -l, -z: factors on the rates and the instances of the plan\n"
+            "  -f: default %s\n",
+            all_faults);
+    return 2;
+}
+
+static int
+read_options(int argc, char **argv, MeshOpts *o)
+{
+    int c;
+
+    while ((c = getopt(argc, argv, "r:p:t:S:d:s:n:l:z:j:f:w:")) != -1) {
+        switch (c) {
+        case 'r':
+            o->relay = optarg;
+            break;
+        case 'p':
+            o->plan = optarg;
+            break;
+        case 't':
+            o->template = optarg;
+            break;
+        case 'S':
+            o->store = optarg;
+            break;
+        case 'd':
+            o->dir = optarg;
+            break;
+        case 's':
+            o->seed = strtoull(optarg, NULL, 10);
+            break;
+        case 'n':
+            o->seconds = strtod(optarg, NULL);
+            break;
+        case 'l':
+            o->load = strtod(optarg, NULL);
+            break;
+        case 'z':
+            o->size = strtod(optarg, NULL);
+            break;
+        case 'j':
+            o->injectors = (int)strtol(optarg, NULL, 10);
+            break;
+        case 'w':
+            o->warm_up_s = strtod(optarg, NULL);
+            break;
+        case 'f':
+            o->faults = optarg;
+            break;
+        default:
+            return 0;
+        }
+    }
+    return o->relay && o->plan && o->template && o->store && o->dir &&
+           check_fault_names(o->faults);
+}
+
+static void
+allow_files(void)
+{
+    struct rlimit l;
+
+    if (getrlimit(RLIMIT_NOFILE, &l) == 0) {
+        l.rlim_cur = l.rlim_max;
+        (void)setrlimit(RLIMIT_NOFILE, &l);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    GError *err = NULL;
+    guint i;
+    int broken;
+
+    mesh.o = (MeshOpts){.seed = 1,
+                        .seconds = 60,
+                        .load = 1,
+                        .size = 1,
+                        .faults = all_faults,
+                        .injectors = 3,
+                        .warm_up_s = 8};
+    if (!read_options(argc, argv, &mesh.o)) {
+        return usage();
+    }
+    signal(SIGPIPE, SIG_IGN);
+    allow_files();
+    mesh.loop = uv_default_loop();
+    catch_signals();
+    mesh.rand = mesh.o.seed * UINT64_C(0x9e3779b97f4a7c15) + 1;
+    mesh.nodes = g_ptr_array_new();
+    mesh.book = new_book();
+    mesh.burst = 1;
+    g_snprintf(mesh.net, sizeof mesh.net, "127.%d", 10 + getpid() % 240);
+    if (!load_plan(&mesh, &err)) {
+        fprintf(stderr, "spmesh: %s\n", err->message);
+        return 2;
+    }
+    if (!start_store(&mesh)) {
+        return 2;
+    }
+    for (i = 0; i < mesh.nodes->len; i++) {
+        if (!start_relay(g_ptr_array_index(mesh.nodes, i))) {
+            end_all(&mesh);
+            return 2;
+        }
+    }
+    began = SpHttp_Now();
+    uv_timer_init(mesh.loop, &timer);
+    uv_timer_start(&timer, on_tick, TICK_MS, TICK_MS);
+    uv_run(mesh.loop, UV_RUN_DEFAULT);
+    broken = report_book(&mesh);
+    end_all(&mesh);
+    return broken ? 1 : 0;
+}
