--- a/http/http.h
+++ b/http/http.h
@@ -178,8 +178,19 @@
 void SpPool_Tick(SpPool *p, int64_t now);
 /* SpPool_CloseIdle closes the idle connections. */
 void SpPool_CloseIdle(SpPool *p);
-/* SpPool_Opened returns the number of connections opened since the start. */
-uint64_t SpPool_Opened(const SpPool *p);
+/* SpExchange_Connection returns the number of its connection: they are counted
+   from 1 in the order in which they are opened. */
+uint64_t SpExchange_Connection(const SpExchange *x);
+
+/* Events since the start. */
+typedef struct SpPoolCounts {
+    uint64_t opened;      /* connections */
+    uint64_t unsolicited; /* connections closed since bytes arrived that no
+                             request waited for */
+    uint64_t discarded;   /* responses to other requests */
+} SpPoolCounts;
+
+SpPoolCounts SpPool_Counts(const SpPool *p);
 
 /*
  * Helpers for libuv streams, also used for protocols other than HTTP.
--- a/http/pool.c
+++ b/http/pool.c
@@ -29,6 +29,7 @@
     uv_tcp_t tcp;
     uv_connect_t connect_req;
     SpPool *p;
+    uint64_t number;
     SpMsgReader r;
     SpExchange *x;
     int64_t since; /* start of the connect, the idle time or the request */
@@ -62,7 +63,7 @@
     struct sockaddr_in sa;
     GPtrArray *conns;
     GQueue idle_conns; /* of PoolConn, most recently used first */
-    uint64_t opened;
+    SpPoolCounts counts;
 };
 
 static void
@@ -183,6 +184,7 @@
     }
     match = match_response(c, m);
     if (match == SP_REPLY_OTHER) {
+        c->p->counts.discarded++;
         c->no_reuse = 1;
         SpMsg_Free(m);
         return 0;
@@ -194,6 +196,18 @@
     return 1;
 }
 
+/* Counts bytes that no request waits for. After a rejection they may be the
+   answer of the instance to a request that it is taken not to have run. */
+static void
+count_unsolicited(PoolConn *c)
+{
+    c->p->counts.unsolicited++;
+    SpLog(SP_LOG_INFO, "reply-unsolicited",
+          "addr=%s conn=%" PRIu64 " idle_ms=%" PRId64 " rejections=%u",
+          c->p->o.addr, c->number,
+          c->idle ? (SpHttp_Now() - c->since) / SP_MS : 0, c->rejected->len);
+}
+
 static void
 make_idle(PoolConn *c)
 {
@@ -223,6 +237,9 @@
     int unsent = uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp) > 0;
 
     set_idle_limit(c, x->response);
+    if (trailing) {
+        count_unsolicited(c);
+    }
     /* Bytes after a response belong to no request. After an early response the
        peer still expects the rest of the request, so the connection cannot
        carry another one. */
@@ -283,7 +300,8 @@
         return;
     }
     if (!c->x) {
-        close_conn(c); /* unsolicited bytes */
+        count_unsolicited(c);
+        close_conn(c);
         return;
     }
     c->r.skip_body = c->x->is_head;
@@ -358,7 +376,7 @@
     c->since = SpHttp_Now();
     c->rejected = g_array_new(FALSE, FALSE, sizeof(Rejected));
     g_ptr_array_add(p->conns, c);
-    p->opened++;
+    c->number = ++p->counts.opened;
     return c;
 }
 
@@ -480,9 +498,15 @@
 }
 
 uint64_t
-SpPool_Opened(const SpPool *p)
+SpExchange_Connection(const SpExchange *x)
+{
+    return x->c ? x->c->number : 0;
+}
+
+SpPoolCounts
+SpPool_Counts(const SpPool *p)
 {
-    return p->opened;
+    return p->counts;
 }
 
 SpPool *
--- a/relay/adapter.h
+++ b/relay/adapter.h
@@ -28,6 +28,7 @@
     int has_id;     /* 1: it names the request that it answers */
     int matches_id; /* 1: it names the request with the given id */
     int not_run; /* 1: the instance states that it did not run the request */
+    int refuses; /* 1: callers take its status for that statement */
 } SpReplyInfo;
 
 typedef enum { SP_INST_READY, SP_INST_DRAINING, SP_INST_GONE } SpInstPhase;
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -163,6 +163,29 @@
     }
 }
 
+/* Logs an answer that is, or looks like, a statement that the request has not
+   run. */
+static void
+log_refusal(const Job *j, const SpMsg *m, const SpReplyInfo *reply)
+{
+    Relay *n = j->n;
+
+    if (reply->not_run) {
+        n->counters.jobs_rejected++;
+        SpLog(SP_LOG_INFO, "run-rejected",
+              "id=%s route=%s instance=%s status=%d named=%d conn=%" PRIu64
+              " ms=%" PRId64,
+              j->id, j->route, n->inst.last.id, m->status, reply->has_id,
+              j->conn, (SpHttp_Now() - j->started) / SP_MS);
+    }
+    else if (reply->refuses) {
+        n->counters.refusals_unstated++;
+        SpLog(SP_LOG_WARN, "refusal-unstated",
+              "id=%s route=%s instance=%s status=%d conn=%" PRIu64, j->id,
+              j->route, n->inst.last.id, m->status, j->conn);
+    }
+}
+
 static void
 on_answer(void *data, SpPoolStatus end, const SpMsg *m, const char *why)
 {
@@ -177,6 +200,7 @@
     if (end == SP_POOL_OK) {
         n->inst.last_seen = now;
         n->adapter->read_reply(m, j->id, &reply);
+        log_refusal(j, m, &reply);
         lines = g_string_sized_new(512);
         append_headers(lines, m);
         r.kind = reply.not_run ? SP_THROTTLED : SP_OK;
@@ -212,8 +236,8 @@
                   r.kind == SP_OK && m->status < 500 ? ran : -1);
     if (end != SP_POOL_OK) {
         SpLog(SP_LOG_WARN, "run-lost",
-              "id=%s instance=%s why=%s sent=%d ms=%" PRId64, j->id,
-              n->inst.last.id, why, r.reached, ran / SP_MS);
+              "id=%s instance=%s why=%s sent=%d conn=%" PRIu64 " ms=%" PRId64,
+              j->id, n->inst.last.id, why, r.reached, j->conn, ran / SP_MS);
     }
     end_job(j, &r);
     if (lines) {
@@ -243,6 +267,7 @@
     o.key_until = j->req.deadline + RESEND_SLACK_US;
     n->counters.jobs++;
     j->x = SpPool_Send(n->pool, &o);
+    j->conn = SpExchange_Connection(j->x);
 }
 
 void
@@ -316,7 +341,12 @@
 
     j->done = NULL;
     if (j->x && !j->idempotent) {
-        return; /* not abortable: its outcome would be unknown */
+        /* not abortable: its outcome would be unknown */
+        SpLog(SP_LOG_INFO, "run-detached",
+              "id=%s route=%s instance=%s conn=%" PRIu64 " ms=%" PRId64, j->id,
+              j->route, n->inst.last.id, j->conn,
+              (SpHttp_Now() - j->started) / SP_MS);
+        return;
     }
     if (j->x) {
         SpExchange_Abort(j->x);
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -20,7 +20,6 @@
     put(s, "instance_queued", n->limiter.queued);
     put(s, "instance_limit", n->limiter.limit);
     put(s, "instance_takes", l.accepts);
-    put(s, "instance_connections_total", (double)SpPool_Opened(n->pool));
     put(s, "config_version", n->routes ? (double)n->routes->version : 0);
     put(s, "nodes_linked", count_links(n));
     put(s, "store_followed", follows_store(n));
@@ -35,6 +34,16 @@
     }
 }
 
+static void
+put_pool(GString *s, const SpPool *p)
+{
+    SpPoolCounts c = SpPool_Counts(p);
+
+    put(s, "instance_connections_total", (double)c.opened);
+    put(s, "replies_unsolicited_total", (double)c.unsolicited);
+    put(s, "replies_discarded_total", (double)c.discarded);
+}
+
 static void
 put_counters(GString *s, const RelayCounters *c)
 {
@@ -45,6 +54,8 @@
     put(s, "sent_other_zones_total", (double)c->sent_other_zones);
     put(s, "runs_total", (double)c->jobs);
     put(s, "runs_refused_total", (double)c->jobs_refused);
+    put(s, "runs_rejected_total", (double)c->jobs_rejected);
+    put(s, "refusals_unstated_total", (double)c->refusals_unstated);
 }
 
 static void
@@ -54,6 +65,7 @@
     GString *s = g_string_sized_new(8192);
 
     put_state(s, n);
+    put_pool(s, n->pool);
     put_counters(s, &n->counters);
     print_links(n, s);
     print_store(n, s);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -102,6 +102,7 @@
     double calls_left; /* calls that its original request needs after it */
     double calls_done; /* nested calls that have succeeded, theirs included */
     int64_t started;
+    uint64_t conn;  /* number of the connection to the instance */
     int ndiscarded; /* responses on its connection that were not its own */
     GString *head;  /* owned; without the headers of the last hop */
     const char *body;
@@ -156,6 +157,9 @@
 typedef struct RelayCounters {
     uint64_t calls, answered, refused, failed, timed_out, disconnected;
     uint64_t retries, sent_same_zone, sent_other_zones, jobs, jobs_refused;
+    uint64_t jobs_rejected; /* the instance said that it did not run them */
+    uint64_t refusals_unstated; /* answers with the status of a refusal that do
+                                   not say so */
 } RelayCounters;
 
 struct Relay {
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -143,7 +143,7 @@
           n->limiter.run_us / SP_MS, n->admission.local.capacity,
           SpShares_Pack(&n->admission.shares),
           n->counters.jobs - n->logged_jobs, n->counters.jobs_refused,
-          n->counters.retries, SpPool_Opened(n->pool));
+          n->counters.retries, SpPool_Counts(n->pool).opened);
     n->logged_at = now;
     n->logged_jobs = n->counters.jobs;
 }
