Instance: the status of a refusal that does not say so is not passed on

What callers saw: a request that is not idempotent ran at an instance and was answered 503, 429 or 408 (REFUSED); a caller that believes it sends it again. Cause: an answer's status was passed on as it came. To callers these statuses promise that the request has not run; from an instance they do only together with its statement that it was not executed. Change: such an answer counts as broken: an idempotent request is tried elsewhere within its budget, the caller gets 502, which promises nothing. A mutant that passes it on again.

--- a/relay/instance.c
+++ b/relay/instance.c
@@ -186,6 +186,17 @@
     }
 }
 
+/* The status of a refusal that does not say so is not passed on: the caller
+   would take it for a promise, and the request may have run. */
+static SpKind
+answer_kind(const SpReplyInfo *reply)
+{
+    if (reply->not_run) {
+        return SP_THROTTLED;
+    }
+    return reply->refuses ? SP_BROKEN : SP_OK;
+}
+
 static void
 on_answer(void *data, SpPoolStatus end, const SpMsg *m, const char *why)
 {
@@ -203,7 +214,7 @@
         log_refusal(j, m, &reply);
         lines = g_string_sized_new(512);
         append_headers(lines, m);
-        r.kind = reply.not_run ? SP_THROTTLED : SP_OK;
+        r.kind = answer_kind(&reply);
         if (reply.not_run) {
             SpAdmission_UndoArrival(&n->admission, j->req.rank, j->share);
         }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -81,6 +81,8 @@
 programs() {
     program_mutant rejection-forgotten late-refusal http/pool.c \
         's/r->key == key && r->until >= now/r->key == key \&\& r->until < 0/' &
+    program_mutant refusal-passed-on refused-though-run relay/instance.c \
+        's/return reply->refuses \? SP_BROKEN : SP_OK;/return SP_OK;/'
     program_mutant rejection-unnamed late-refusal relay/instance.c \
         's/ && r.not_run && first\)/ \&\& r.not_run)/' &
     program_mutant end-of-last-page config-log relay/store.c \
