--- a/test/flow.c
+++ b/test/flow.c
@@ -652,6 +652,49 @@
     g_byte_array_unref(out);
 }
 
+static int
+count_frame(void *ctx, FrameType type, FrameIn *f)
+{
+    (void)type;
+    (void)f;
+    ++*(int *)ctx;
+    return 1;
+}
+
+static int
+frames_in(const void *p, guint n)
+{
+    GByteArray *in = g_byte_array_new();
+    int count = 0;
+
+    g_byte_array_append(in, p, n);
+    if (!read_frames(in, count_frame, &count)) {
+        count = -1;
+    }
+    g_byte_array_unref(in);
+    return count;
+}
+
+/* Guards against memory for elements that a message names but does not hold.
+   The sanitizers end the test on the allocation. */
+static void
+test_frame_elements(void)
+{
+    static const char map[] = "\0\0\0\7\x92\4\xdf\x43\x84\xff\xff";
+    static const char array[] = "\0\0\0\7\x92\4\xdd\x7f\xff\xff\xff";
+    static const char nested[] = "\0\0\0\13\x92\4\xdc\0\6\xdc\0\6\xdc\0\6";
+    static const char cut[] = "\0\0\0\3\x92\4\xdd";
+    static const char whole[] = "\0\0\0\23"
+                                "\x97\2\xc4\2xy\xa1z\xca\0\0\0\0"
+                                "\xd1\0\1\x80\x91\7";
+
+    CU_ASSERT_EQUAL(frames_in(map, sizeof map - 1), -1);
+    CU_ASSERT_EQUAL(frames_in(array, sizeof array - 1), -1);
+    CU_ASSERT_EQUAL(frames_in(nested, sizeof nested - 1), -1);
+    CU_ASSERT_EQUAL(frames_in(cut, sizeof cut - 1), -1);
+    CU_ASSERT_EQUAL(frames_in(whole, sizeof whole - 1), 1);
+}
+
 static void
 test_records(void)
 {
@@ -744,6 +787,7 @@
     {"flow", "retry budget, calls left", test_retry_calls_left},
     {"flow", "stop", test_stop},
     {"relay", "reals in frames", test_frame_reals},
+    {"relay", "elements of frames", test_frame_elements},
     {"platform", "config", test_config},
     {"platform", "bad config", test_bad_config},
     {"platform", "wide split", test_wide_split},
