Links: bodies from other relays are bounded

Cause: each body was held three times (the link's buffer, the job's copy, the connection's copy), the link kept its buffer for ever, and none was counted.

--- a/http/http.h
+++ b/http/http.h
@@ -26,6 +26,11 @@
     size_t limit, used; /* bytes */
 } SpBodyMemory;
 
+/* SpBodyMemory_Take takes n bytes for a body that is held beside a message;
+   returns 0 if the limit leaves no room for them. */
+int SpBodyMemory_Take(SpBodyMemory *b, size_t n);
+void SpBodyMemory_Release(SpBodyMemory *b, size_t n);
+
 /* An HTTP request or response. Its strings are allocated from its arena. */
 typedef struct SpMsg {
     SpArena *arena;
--- a/http/reader.c
+++ b/http/reader.c
@@ -25,6 +25,22 @@
     return capacity;
 }
 
+int
+SpBodyMemory_Take(SpBodyMemory *b, size_t n)
+{
+    if (b->used > b->limit || n > b->limit - b->used) {
+        return 0;
+    }
+    b->used += n;
+    return 1;
+}
+
+void
+SpBodyMemory_Release(SpBodyMemory *b, size_t n)
+{
+    b->used -= n;
+}
+
 void
 SpMsg_Free(SpMsg *m)
 {
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -96,6 +96,7 @@
         g_string_free(j->head, TRUE);
     }
     g_free(j->body_copy);
+    SpBodyMemory_Release(&j->n->job_memory, j->held);
     g_free(j);
 }
 
@@ -279,6 +280,11 @@
     n->counters.jobs++;
     j->x = SpPool_Send(n->pool, &o);
     j->conn = SpExchange_Connection(j->x);
+    /* the exchange has a copy of its own */
+    g_free(j->body_copy);
+    j->body_copy = NULL;
+    j->body = NULL;
+    j->body_len = 0;
 }
 
 void
@@ -291,6 +297,25 @@
     }
 }
 
+/* Returns 0 if there is no memory for a copy of the body. The copy counts
+   until the job ends, since the connection holds the body after it. */
+static int
+take_body(Job *j, const JobOpts *o)
+{
+    j->body = o->body;
+    j->body_len = o->body_len;
+    if (!o->copy_body || !o->body_len) {
+        return 1;
+    }
+    if (!SpBodyMemory_Take(&j->n->job_memory, o->body_len)) {
+        return 0;
+    }
+    j->held = o->body_len;
+    j->body_copy = g_memdup2(o->body, o->body_len);
+    j->body = j->body_copy;
+    return 1;
+}
+
 Job *
 start_job(Relay *n, const JobOpts *o)
 {
@@ -325,11 +350,9 @@
         refuse_job(j, k);
         return NULL;
     }
-    j->body = o->body;
-    j->body_len = o->body_len;
-    if (o->copy_body && o->body_len) {
-        j->body_copy = g_memdup2(o->body, o->body_len);
-        j->body = j->body_copy;
+    if (!take_body(j, o)) {
+        refuse_job(j, SP_SHED);
+        return NULL;
     }
     SpAdmission_CountArrival(&n->admission, j->req.rank, o->share);
     switch (SpLimiter_Submit(&n->limiter, now, &j->req)) {
--- a/relay/link.c
+++ b/relay/link.c
@@ -10,6 +10,8 @@
 /* Maximum delay between attempts to connect. */
 #define BACKOFF_MAX_US (2 * SP_SEC)
 #define BACKLOG 512
+/* A receive buffer that has grown beyond this is freed when it is empty. */
+#define KEPT_BYTES ((guint)256 << 10)
 
 static int handle_frame(void *ctx, FrameType type, FrameIn *f);
 
@@ -144,6 +146,47 @@
     fail_calls(p);
 }
 
+/* Half of the memory for copies of bodies is in use: the links that bring more
+   are not read until there is room again. Beyond the limit itself requests are
+   refused. */
+static int
+is_memory_short(const Relay *n)
+{
+    return n->job_memory.used > n->job_memory.limit / 2;
+}
+
+static void on_conn_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf);
+
+/* While a link is held, nothing can be heard on it. */
+static void
+resume_reading(LinkConn *conn, int64_t now)
+{
+    conn->received_at = now;
+    if (!is_memory_short(conn->n)) {
+        conn->held = 0;
+        uv_read_start((uv_stream_t *)&conn->tcp, SpHttp_Alloc, on_conn_read);
+    }
+}
+
+static void
+append_received(LinkConn *conn, const char *p, size_t n)
+{
+    g_byte_array_append(conn->in, (const guint8 *)p, (guint)n);
+    conn->in_peak = MAX(conn->in_peak, conn->in->len);
+}
+
+/* A large message leaves a large buffer, which each link would keep. */
+static void
+shrink_received(LinkConn *conn)
+{
+    if (conn->in_peak <= KEPT_BYTES || conn->in->len) {
+        return;
+    }
+    g_byte_array_unref(conn->in);
+    conn->in = g_byte_array_new();
+    conn->in_peak = 0;
+}
+
 static void
 on_conn_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf)
 {
@@ -157,9 +200,15 @@
         return;
     }
     conn->received_at = SpHttp_Now();
-    g_byte_array_append(conn->in, (const guint8 *)buf->base, (guint)n);
+    append_received(conn, buf->base, (size_t)n);
     if (!read_frames(conn->in, handle_frame, conn)) {
         close_conn(conn, "malformed");
+        return;
+    }
+    shrink_received(conn);
+    if (!conn->closing && !conn->peer && is_memory_short(conn->n)) {
+        conn->held = 1;
+        uv_read_stop(st);
     }
 }
 
@@ -301,6 +350,9 @@
         }
         return;
     }
+    if (conn->held) {
+        resume_reading(conn, now);
+    }
     if (silence_us(conn, now) > SILENCE_SLACK_US) {
         close_conn(conn, "silent");
         return;
--- a/relay/link.h
+++ b/relay/link.h
@@ -36,6 +36,8 @@
     Relay *n;
     Peer *peer; /* NULL if the other side opened the connection */
     GByteArray *in, *out;
+    guint in_peak;    /* greatest length of in since it was made */
+    int held;         /* 1: it is not read, since memory for bodies is short */
     GHashTable *jobs; /* on the serving side: seq to Job */
     int connected, closing;
     int64_t received_at, state_sent_at;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -107,7 +107,9 @@
     GString *head;  /* owned; without the headers of the last hop */
     const char *body;
     size_t body_len;
-    char *body_copy; /* copy of the body; NULL if the owner keeps it */
+    char *body_copy; /* copy of the body; NULL if the owner keeps it, or once
+                        it is on its way to the instance */
+    size_t held;     /* bytes taken from job_memory until the job ends */
     /* called once, unless the job is dropped first; then the job is freed */
     void (*done)(struct Job *j, const Result *r);
     void *owner;
@@ -168,6 +170,7 @@
     uv_loop_t *loop;
     SpHttpServer *http;
     SpBodyMemory body_memory; /* of http and pool */
+    SpBodyMemory job_memory;  /* of bodies copied for jobs */
     SpPool *pool;             /* connections to the local instance */
     SpExchange *check;        /* status check in progress */
     int64_t check_at; /* time-out of that check, or time of the next one */
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -324,6 +324,7 @@
     SpLimiter_Init(&n->limiter);
     SpAdmission_Init(&n->admission);
     n->body_memory.limit = (size_t)(n->settings.memory_mb * MB) / BODY_SHARE;
+    n->job_memory.limit = n->body_memory.limit;
     n->http = SpHttpServer_New(n->loop, &limits, &n->body_memory);
     g_strlcpy(po.addr, n->settings.instance, sizeof po.addr);
     n->pool = SpPool_New(n->loop, &po);
