--- a/standin/answers.c
+++ b/standin/answers.c
@@ -5,6 +5,8 @@
  *   /slow-N    after N ms; 504 at the deadline, if that is sooner
  *   /size-N    with a body of N KB
  *   /late      the response, and the same again 30 ms later
+ *   /late-next the response, and the same again where the next response on
+ *              the connection is due
  *   /extra     the response twice, without a pause
  *   /nolength  body without a length, ended by the close of the connection
  *   /cut       as /nolength, but ended by a reset of the connection
@@ -329,6 +331,10 @@
         sleep_ms(30);
         send_text(fd, s);
     }
+    if (ends_with(r->path, "/late-next")) {
+        c->late = s;
+        return keep_open;
+    }
     g_free(s);
     return keep_open;
 }
--- a/standin/mesh.h
+++ b/standin/mesh.h
@@ -28,6 +28,7 @@
     int slots, queue;
     double speed; /* of the machines' work; 1: as the route says */
     /* Faults in force: the part of its answers or requests. */
+    double unnamed;         /* rejections without the id of the attempt */
     double rejects;         /* requests that are rejected */
     double repeats;         /* answers that are sent again, late */
     double repeats_at_once; /* answers that are sent twice in a row */
--- a/standin/meshbook.c
+++ b/standin/meshbook.c
@@ -65,7 +65,7 @@
 static Entry *
 entry_of(const Mesh *m, const char *id)
 {
-    return g_hash_table_lookup(m->book->entries, id);
+    return id ? g_hash_table_lookup(m->book->entries, id) : NULL;
 }
 
 /* Appends a step to the story of a request. */
--- a/standin/meshfault.c
+++ b/standin/meshfault.c
@@ -208,6 +208,21 @@
     j->service->repeats = 0;
 }
 
+static int
+begin_unnamed_rejections(Mesh *m, Injector *j)
+{
+    begin_late_rejections(m, j);
+    j->service->unnamed = 1;
+    return 1;
+}
+
+static void
+end_unnamed_rejections(Mesh *m, Injector *j)
+{
+    end_late_rejections(m, j);
+    j->service->unnamed = 0;
+}
+
 #define MESH_FAULT(field, value, normal)                                      \
     static int begin_##field(Mesh *m, Injector *j)                            \
     {                                                                         \
@@ -282,6 +297,8 @@
     {"repeat-at-once", 3000, 5000, begin_repeats_at_once, end_repeats_at_once},
     {"late-rejections", 3000, 5000, begin_late_rejections,
      end_late_rejections},
+    {"unnamed-rejections", 3000, 5000, begin_unnamed_rejections,
+     end_unnamed_rejections},
     {"lose", 2000, 4000, begin_loses, end_loses},
     {"spoil", 2000, 4000, begin_spoils, end_spoils},
     {"deny", 2000, 4000, begin_denies, end_denies},
--- a/standin/meshinst.c
+++ b/standin/meshinst.c
@@ -133,7 +133,8 @@
     }
 }
 
-/* Sends an answer, and plays the faults that repeat it. */
+/* Sends an answer, and plays the faults that repeat it. id may be NULL: it
+   names no attempt. */
 static void
 answer(IConn *c, const char *id, int status, const char *lines,
        const char *body)
@@ -143,10 +144,12 @@
     GString *t = g_string_new(NULL);
     int rejection = strcmp(lines, NOT_EXECUTED) == 0;
 
-    g_string_printf(t,
-                    "HTTP/1.1 %d x\r\nSiskinpond-Attempt-Id: %s\r\n%s"
-                    "%sContent-Length: %zu\r\n\r\n%s",
-                    status, id, lines, KEEP_ALIVE, strlen(body), body);
+    g_string_printf(t, "HTTP/1.1 %d x\r\n", status);
+    if (id) {
+        g_string_append_printf(t, "Siskinpond-Attempt-Id: %s\r\n", id);
+    }
+    g_string_append_printf(t, "%s%sContent-Length: %zu\r\n\r\n%s", lines,
+                           KEEP_ALIVE, strlen(body), body);
     if (mesh_chance(m, s->repeats)) {
         c->late = g_string_new(t->str);
         book_repeated(m, id, c->i->n, c->number, rejection);
@@ -163,8 +166,11 @@
 static void
 reject(IConn *c, const char *id)
 {
-    book_rejected(c->i->n->m, id, c->i->n, c->number);
-    answer(c, id, 503, NOT_EXECUTED, "");
+    Mesh *m = c->i->n->m;
+
+    book_rejected(m, id, c->i->n, c->number);
+    answer(c, mesh_chance(m, c->i->n->service->unnamed) ? NULL : id, 503,
+           NOT_EXECUTED, "");
 }
 
 /* Plays the faults of an answer; returns 1 if there is none to send. */
