--- a/standin/mesh.h
+++ b/standin/mesh.h
@@ -54,10 +54,10 @@
     char name[MESH_NAME], zone[MESH_NAME], ip[24];
     MeshService *service;
     uv_process_t proc;
-    int running; /* 1: the process exists */
-    int ends;    /* 1: its end is expected */
-    int busy;    /* 1: a fault of its process is in force */
-    int stopped_ms;
+    int running;     /* 1: the process exists */
+    int ends;        /* 1: its end is expected */
+    int busy;        /* 1: a fault of it is in force */
+    int in_herd;     /* 1: that killed many at once */
     SpPool *out;     /* callers' connections */
     SpPool *control; /* reports of its instance */
     struct Instance *inst;
@@ -114,7 +114,7 @@
 /* end_all kills the processes that were started. */
 void end_all(Mesh *m);
 
-/* meshinst.c */
+/* meshlife.c */
 struct Instance *new_instance(Node *n);
 /* restart_instance ends all connections and runs, and starts a new lifetime.
  */
--- a/standin/meshfault.c
+++ b/standin/meshfault.c
@@ -3,12 +3,23 @@
  * after a while, pauses, and draws the next one.
  */
 #include <signal.h>
+#include <stddef.h>
 #include <string.h>
 
 #include "standin/mesh.h"
 
 #define MAX_INJECTORS 16
-#define GRACE_US (6 * SP_SEC)
+/* For a process to end after SIGKILL. */
+#define KILL_US (200 * SP_MS)
+
+#define MAX_FIELDS 3
+
+/* A field of a Mesh or a MeshService, and its values during and after the
+   fault. */
+typedef struct Field {
+    size_t offset;
+    double during, after;
+} Field;
 
 typedef struct Fault Fault;
 
@@ -17,19 +28,25 @@
     Node *node;
     MeshService *service;
     int64_t until;
-    int64_t begun;
 } Injector;
 
 struct Fault {
     const char *name;
-    int min_ms, spread_ms;              /* how long it is in force */
-    int (*begin)(Mesh *m, Injector *j); /* 0: it cannot be had now */
+    int min_ms, spread_ms; /* how long it is in force */
+    int (*begin)(Mesh *m, Injector *j,
+                 const Fault *f); /* 0: not possible now */
     void (*end)(Mesh *m, Injector *j);
+    int signum; /* for the relay */
+    Field fields[MAX_FIELDS];
 };
 
 static Injector injectors[MAX_INJECTORS];
 
-/* A node without a fault of its process. */
+/*
+ * Faults of one node.
+ */
+
+/* Draws a node without a fault. */
 static int
 take_node(Mesh *m, Injector *j)
 {
@@ -43,12 +60,12 @@
 }
 
 static int
-begin_kill(Mesh *m, Injector *j)
+begin_signal(Mesh *m, Injector *j, const Fault *f)
 {
     if (!take_node(m, j)) {
         return 0;
     }
-    signal_relay(j->node, SIGKILL);
+    signal_relay(j->node, f->signum);
     return 1;
 }
 
@@ -60,47 +77,74 @@
     j->node->busy = 0;
 }
 
+static void
+end_freeze(Mesh *m, Injector *j)
+{
+    (void)m;
+    signal_relay(j->node, SIGCONT);
+    j->node->busy = 0;
+}
+
+static void
+end_stop(Mesh *m, Injector *j)
+{
+    if (j->node->running) { /* the grace time is over */
+        signal_relay(j->node, SIGKILL);
+        j->until = SpHttp_Now() + KILL_US;
+        return;
+    }
+    end_kill(m, j);
+}
+
+static void
+end_node(Mesh *m, Injector *j)
+{
+    (void)m;
+    j->node->busy = 0;
+}
+
 static int
-begin_freeze(Mesh *m, Injector *j)
+begin_instance_freeze(Mesh *m, Injector *j, const Fault *f)
 {
+    (void)f;
     if (!take_node(m, j)) {
         return 0;
     }
-    signal_relay(j->node, SIGSTOP);
+    freeze_instance(j->node->inst, 1);
     return 1;
 }
 
 static void
-end_freeze(Mesh *m, Injector *j)
+end_instance_freeze(Mesh *m, Injector *j)
 {
-    (void)m;
-    signal_relay(j->node, SIGCONT);
-    j->node->busy = 0;
+    freeze_instance(j->node->inst, 0);
+    end_node(m, j);
 }
 
 static int
-begin_stop(Mesh *m, Injector *j)
+begin_leave(Mesh *m, Injector *j, const Fault *f)
 {
+    (void)f;
     if (!take_node(m, j)) {
         return 0;
     }
-    signal_relay(j->node, SIGTERM);
+    leave_instance(j->node->inst);
     return 1;
 }
 
 static void
-end_stop(Mesh *m, Injector *j)
+end_instance_crash(Mesh *m, Injector *j)
 {
-    if (j->node->running) { /* the grace time is over */
-        signal_relay(j->node, SIGKILL);
-        j->until = SpHttp_Now() + 200 * SP_MS;
-        return;
-    }
-    end_kill(m, j);
+    restart_instance(j->node->inst);
+    end_node(m, j);
 }
 
+/*
+ * Faults of many nodes.
+ */
+
 static int
-begin_herd(Mesh *m, Injector *j)
+begin_herd(Mesh *m, Injector *j, const Fault *f)
 {
     guint i;
 
@@ -108,8 +152,8 @@
     for (i = 0; i < m->nodes->len; i++) {
         Node *n = g_ptr_array_index(m->nodes, i);
         if (!n->busy && n->running && mesh_chance(m, 0.5)) {
-            n->busy = 2;
-            signal_relay(n, SIGKILL);
+            n->busy = n->in_herd = 1;
+            signal_relay(n, f->signum);
         }
     }
     return 1;
@@ -123,149 +167,74 @@
     (void)j;
     for (i = 0; i < m->nodes->len; i++) {
         Node *n = g_ptr_array_index(m->nodes, i);
-        if (n->busy == 2) {
+        if (n->in_herd) {
             start_relay(n);
-            n->busy = 0;
+            n->busy = n->in_herd = 0;
         }
     }
 }
 
-static int
-begin_instance_crash(Mesh *m, Injector *j)
-{
-    if (!take_node(m, j)) {
-        return 0;
-    }
-    freeze_instance(j->node->inst, 1);
-    return 1;
-}
-
-static void
-end_instance_crash(Mesh *m, Injector *j)
-{
-    (void)m;
-    restart_instance(j->node->inst);
-    j->node->busy = 0;
-}
+/*
+ * Faults that are fields of a service or of the mesh.
+ */
 
 static void
-end_instance_freeze(Mesh *m, Injector *j)
+set_fields(void *base, const Fault *f, int during)
 {
-    (void)m;
-    freeze_instance(j->node->inst, 0);
-    j->node->busy = 0;
-}
+    int i;
 
-static int
-begin_leave(Mesh *m, Injector *j)
-{
-    if (!take_node(m, j)) {
-        return 0;
+    for (i = 0; i < MAX_FIELDS && f->fields[i].during > 0; i++) {
+        double *v = (double *)((char *)base + f->fields[i].offset);
+        *v = during ? f->fields[i].during : f->fields[i].after;
     }
-    leave_instance(j->node->inst);
-    return 1;
-}
-
-static MeshService *
-draw_service(Mesh *m, Injector *j)
-{
-    j->service = &m->services[mesh_draw(m, m->nservices)];
-    return j->service;
 }
 
-#define SERVICE_FAULT(field, value)                                           \
-    static int begin_##field(Mesh *m, Injector *j)                            \
-    {                                                                         \
-        draw_service(m, j)->field = (value);                                  \
-        return 1;                                                             \
-    }                                                                         \
-    static void end_##field(Mesh *m, Injector *j)                             \
-    {                                                                         \
-        (void)m;                                                              \
-        j->service->field = 0;                                                \
-    }
-
-SERVICE_FAULT(rejects, 0.55)
-SERVICE_FAULT(repeats, 0.05)
-SERVICE_FAULT(repeats_at_once, 0.05)
-SERVICE_FAULT(loses, 0.05)
-SERVICE_FAULT(spoils, 0.05)
-SERVICE_FAULT(denies, 0.05)
-
-/* Rejections, some of which come a second time. */
 static int
-begin_late_rejections(Mesh *m, Injector *j)
+begin_service(Mesh *m, Injector *j, const Fault *f)
 {
-    begin_rejects(m, j);
-    j->service->repeats = 0.05;
+    j->service = &m->services[mesh_draw(m, m->nservices)];
+    set_fields(j->service, f, 1);
     return 1;
 }
 
 static void
-end_late_rejections(Mesh *m, Injector *j)
+end_service(Mesh *m, Injector *j)
 {
-    end_rejects(m, j);
-    j->service->repeats = 0;
+    (void)m;
+    set_fields(j->service, j->fault, 0);
 }
 
 static int
-begin_unnamed_rejections(Mesh *m, Injector *j)
+begin_mesh(Mesh *m, Injector *j, const Fault *f)
 {
-    begin_late_rejections(m, j);
-    j->service->unnamed = 1;
+    (void)j;
+    set_fields(m, f, 1);
     return 1;
 }
 
 static void
-end_unnamed_rejections(Mesh *m, Injector *j)
+end_mesh(Mesh *m, Injector *j)
 {
-    end_late_rejections(m, j);
-    j->service->unnamed = 0;
+    set_fields(m, j->fault, 0);
 }
 
-#define MESH_FAULT(field, value, normal)                                      \
-    static int begin_##field(Mesh *m, Injector *j)                            \
-    {                                                                         \
-        (void)j;                                                              \
-        m->field = (value);                                                   \
-        return 1;                                                             \
-    }                                                                         \
-    static void end_##field(Mesh *m, Injector *j)                             \
-    {                                                                         \
-        (void)j;                                                              \
-        m->field = (normal);                                                  \
-    }
-
-MESH_FAULT(give_up, 0.2, 0)
-MESH_FAULT(abuse, 0.4, 0)
-MESH_FAULT(burst, 1.8, 1)
-
 static int
-begin_hup(Mesh *m, Injector *j)
-{
-    if (!take_node(m, j)) {
-        return 0;
-    }
-    signal_relay(j->node, SIGHUP);
-    j->node->busy = 0;
-    return 1;
-}
-
-static int
-begin_config(Mesh *m, Injector *j)
+begin_config(Mesh *m, Injector *j, const Fault *f)
 {
     (void)j;
+    (void)f;
     publish_config(m);
     return 1;
 }
 
 static int
-begin_store(Mesh *m, Injector *j)
+begin_store(Mesh *m, Injector *j, const Fault *f)
 {
     static const char *const modes[] = {"down", "silent", "lost", "slow",
                                         "mute"};
 
     (void)j;
+    (void)f;
     set_store_mode(m, modes[mesh_draw(m, G_N_ELEMENTS(modes))]);
     return 1;
 }
@@ -284,30 +253,104 @@
     (void)j;
 }
 
+#define OF_SERVICE(field, share)                                              \
+    {                                                                         \
+        offsetof(MeshService, field), share, 0                                \
+    }
+#define OF_MESH(field, during, after)                                         \
+    {                                                                         \
+        offsetof(Mesh, field), during, after                                  \
+    }
+
 static const Fault faults[] = {
-    {"kill", 300, 3000, begin_kill, end_kill},
-    {"freeze", 500, 4500, begin_freeze, end_freeze},
-    {"stop", 5900, 1, begin_stop, end_stop},
-    {"herd", 500, 1500, begin_herd, end_herd},
-    {"instance-crash", 500, 3000, begin_instance_crash, end_instance_crash},
-    {"instance-freeze", 500, 3000, begin_instance_crash, end_instance_freeze},
-    {"leave", 2500, 1000, begin_leave, end_instance_crash},
-    {"reject", 3000, 5000, begin_rejects, end_rejects},
-    {"repeat", 3000, 5000, begin_repeats, end_repeats},
-    {"repeat-at-once", 3000, 5000, begin_repeats_at_once, end_repeats_at_once},
-    {"late-rejections", 3000, 5000, begin_late_rejections,
-     end_late_rejections},
-    {"unnamed-rejections", 3000, 5000, begin_unnamed_rejections,
-     end_unnamed_rejections},
-    {"lose", 2000, 4000, begin_loses, end_loses},
-    {"spoil", 2000, 4000, begin_spoils, end_spoils},
-    {"deny", 2000, 4000, begin_denies, end_denies},
-    {"give-up", 2000, 4000, begin_give_up, end_give_up},
-    {"abuse", 2000, 4000, begin_abuse, end_abuse},
-    {"burst", 2000, 6000, begin_burst, end_burst},
-    {"hup", 100, 500, begin_hup, end_nothing},
-    {"config", 100, 1000, begin_config, end_nothing},
-    {"store", 500, 4000, begin_store, end_store}};
+    {"kill", 300, 3000, begin_signal, end_kill, SIGKILL, {{0}}},
+    {"freeze", 500, 4500, begin_signal, end_freeze, SIGSTOP, {{0}}},
+    {"stop", 5900, 1, begin_signal, end_stop, SIGTERM, {{0}}},
+    {"hup", 100, 500, begin_signal, end_node, SIGHUP, {{0}}},
+    {"herd", 500, 1500, begin_herd, end_herd, SIGKILL, {{0}}},
+    {"instance-crash",
+     500,
+     3000,
+     begin_instance_freeze,
+     end_instance_crash,
+     0,
+     {{0}}},
+    {"instance-freeze",
+     500,
+     3000,
+     begin_instance_freeze,
+     end_instance_freeze,
+     0,
+     {{0}}},
+    {"leave", 2500, 1000, begin_leave, end_instance_crash, 0, {{0}}},
+    {"reject",
+     3000,
+     5000,
+     begin_service,
+     end_service,
+     0,
+     {OF_SERVICE(rejects, 0.55)}},
+    {"repeat",
+     3000,
+     5000,
+     begin_service,
+     end_service,
+     0,
+     {OF_SERVICE(repeats, 0.05)}},
+    {"repeat-at-once",
+     3000,
+     5000,
+     begin_service,
+     end_service,
+     0,
+     {OF_SERVICE(repeats_at_once, 0.05)}},
+    {"late-rejections",
+     3000,
+     5000,
+     begin_service,
+     end_service,
+     0,
+     {OF_SERVICE(rejects, 0.55), OF_SERVICE(repeats, 0.05)}},
+    {"unnamed-rejections",
+     3000,
+     5000,
+     begin_service,
+     end_service,
+     0,
+     {OF_SERVICE(rejects, 0.55), OF_SERVICE(repeats, 0.05),
+      OF_SERVICE(unnamed, 1)}},
+    {"lose",
+     2000,
+     4000,
+     begin_service,
+     end_service,
+     0,
+     {OF_SERVICE(loses, 0.05)}},
+    {"spoil",
+     2000,
+     4000,
+     begin_service,
+     end_service,
+     0,
+     {OF_SERVICE(spoils, 0.05)}},
+    {"deny",
+     2000,
+     4000,
+     begin_service,
+     end_service,
+     0,
+     {OF_SERVICE(denies, 0.05)}},
+    {"give-up",
+     2000,
+     4000,
+     begin_mesh,
+     end_mesh,
+     0,
+     {OF_MESH(give_up, 0.2, 0)}},
+    {"abuse", 2000, 4000, begin_mesh, end_mesh, 0, {OF_MESH(abuse, 0.4, 0)}},
+    {"burst", 2000, 6000, begin_mesh, end_mesh, 0, {OF_MESH(burst, 1.8, 1)}},
+    {"config", 100, 1000, begin_config, end_nothing, 0, {{0}}},
+    {"store", 500, 4000, begin_store, end_store, 0, {{0}}}};
 
 static const Fault *
 fault_named(const char *name)
@@ -356,7 +399,7 @@
 
     memset(j, 0, sizeof *j);
     j->until = now + (100 + mesh_draw(m, 1500)) * SP_MS;
-    if (!f || !f->begin(m, j)) {
+    if (!f || !f->begin(m, j, f)) {
         return;
     }
     j->fault = f;
