spctl explain: rejections, refusals without a statement, detached runs

What log lines of the incident say, in sentences; a fifth walk in test/walks.t: the caller got 502, back-1 refusal-unstated status=503.

--- a/cmd/trace.c
+++ b/cmd/trace.c
@@ -85,6 +85,14 @@
     {"run-cut", NULL, NULL,
      "instance $instance gave no response by the deadline; aborted after $ms "
      "ms"},
+    {"run-rejected", NULL, NULL,
+     "instance $instance said that it had not run it (status $status, "
+     "connection $conn)"},
+    {"refusal-unstated", NULL, NULL,
+     "instance $instance answered $status without saying that it had not run "
+     "it: it may have run"},
+    {"run-detached", NULL, NULL,
+     "nobody waited for it any more: it ran on at $instance"},
     {"run-unqueued", NULL, NULL,
      "it had waited $ms ms at $name, where $running ran and $queued waited, "
      "when nobody waited for it any more: it did not run"},
--- a/test/walks.t
+++ b/test/walks.t
@@ -78,3 +78,11 @@
 at=100.501000 level=info prog=sprelay name=back-1 event=run-unqueued id=q1 route=short rank=0 ms=480 running=7 queued=1
 END
 "$OUT/spctl" explain q1 "$DIR/queued.log"
+
+echo "5. refused by an instance that ran it"
+relay back-1
+until_ok 10 served front-1 back-again GET /safe/back-again
+echo "the caller got: $(code front-1 unstated POST /once/unstated-503)"
+until_ok 5 grep -q 'event=call-refused id=unstated ' "$DIR/relay-front-1.out"
+trace unstated | sed -E 's/conn=[0-9]+/conn=N/'
+explain unstated
