spnode: a late second answer of the instance is not given to the next caller

Change: each request to the instance has a name, sp-run, which the response repeats; one with another name ends the fetch without a response, and the connection with it. An instance that does not name its responses gets each request on a connection of its own. A connect that fails at once is reported from the loop.

--- a/node/calls.c
+++ b/node/calls.c
@@ -265,6 +265,9 @@
     SpAnswer a;
 
     call->fetch = NULL;
+    if (call->is_run && f->end == SP_FETCH_OK) {
+        call->n->instance_names = f->named;
+    }
     if (f->end == SP_FETCH_OK) {
         fill_answer(call, f, &a, &hs);
     }
@@ -282,8 +285,15 @@
     }
 }
 
+/*
+ * run is the name of a run at the instance; NULL if the call goes to a node.
+ * An instance that does not name the request in its response gets each on a
+ * connection of its own: elsewhere a second response to an earlier request
+ * could not be told from the one that is due.
+ */
 static void
-fetch(Call *call, const SpSend *s, const char *addr, Headers *hs)
+fetch(Call *call, const SpSend *s, const char *addr, Headers *hs,
+      const SpHeader *run)
 {
     const SpDoc *d = SpCore_Doc(call->n->core);
     SpFetchOpts o = {.addr = addr,
@@ -295,6 +305,8 @@
                      .body_len = s->body_len,
                      .max_response_bytes =
                          d ? (size_t)d->limits.answer_bytes : 1 << 20,
+                     .name = run,
+                     .own_connection = run && !call->n->instance_names,
                      .cb = on_fetched,
                      .data = call};
 
@@ -309,12 +321,14 @@
     Node *n = node_of(ctx);
     Call *call = s->user;
     Headers hs = {.count = 0};
-    char trace[64], timeout[24], class[8];
+    char trace[64], timeout[24], class[8], number[24];
+    const SpHeader run = {"sp-run", number};
 
     print_trace(trace, sizeof trace, s->trace, s->span);
     g_snprintf(timeout, sizeof timeout, "%" PRId64,
                MAX(1, s->timeout_us / SP_MS));
     g_snprintf(class, sizeof class, "%d", s->class);
+    g_snprintf(number, sizeof number, "%" PRIu64, ++n->runs);
     add_header(&hs, "traceparent", trace);
     add_header(&hs, "sp-timeout-ms", timeout);
     add_header(&hs, "sp-class", class);
@@ -323,7 +337,7 @@
     }
     SpWebReq_Each(call->web, forward_header, &hs);
     call->is_run = 1;
-    fetch(call, s, n->set.instance, &hs);
+    fetch(call, s, n->set.instance, &hs, &run);
 }
 
 void
@@ -345,7 +359,7 @@
     }
     SpWebReq_Each(call->web, forward_header, &hs);
     call->is_run = 0;
-    fetch(call, s, s->mesh, &hs);
+    fetch(call, s, s->mesh, &hs, NULL);
 }
 
 void
--- a/node/node.h
+++ b/node/node.h
@@ -20,7 +20,9 @@
     Peers *peers;
     uv_timer_t tick;
     uv_signal_t term, intr;
-    int64_t stop_at;      /* when the graceful stop began; 0 if not stopping */
+    int64_t stop_at;    /* when the graceful stop began; 0 if not stopping */
+    uint64_t runs;      /* requests sent to the instance; names the next one */
+    int instance_names; /* 1: its last response named the request */
     char form_secret[40]; /* key of the form tokens */
 } Node;
 
--- a/standin/answers.c
+++ b/standin/answers.c
@@ -85,6 +85,9 @@
                     "HTTP/1.1 %d x\r\nSiskinpond-Attempt-Id: %s\r\n"
                     "Siskinpond-Response-Signature: sig.%s\r\n%s",
                     status, r->id, r->id, more);
+    if (inst.names_runs) {
+        g_string_append_printf(s, "sp-run: %s\r\n", r->run);
+    }
     if (length) {
         g_string_append_printf(s, "Content-Length: %zu\r\n", strlen(body));
     }
--- a/standin/inst.h
+++ b/standin/inst.h
@@ -19,6 +19,7 @@
     volatile sig_atomic_t muted; /* number of times */
     int seq;
     int refuse_checks; /* 1: status checks are refused */
+    int names_runs;    /* 1: answers repeat the sp-run of their request */
 } Inst;
 
 extern Inst inst;
@@ -30,7 +31,7 @@
 } Conn;
 
 typedef struct Request {
-    char method[16], path[512], id[256], caller[64], expect[64];
+    char method[16], path[512], id[256], caller[64], expect[64], run[32];
     long left_ms;
     size_t body;
 } Request;
--- a/standin/instnet.c
+++ b/standin/instnet.c
@@ -64,6 +64,9 @@
     else if (strncasecmp(line, "siskinpond-expected-instance:", 29) == 0) {
         g_strlcpy(r->expect, v, sizeof r->expect);
     }
+    else if (strncasecmp(line, "sp-run:", 7) == 0) {
+        g_strlcpy(r->run, v, sizeof r->run);
+    }
     else if (strncasecmp(line, "siskinpond-deadline-ms:", 23) == 0) {
         r->left_ms = strtol(v, NULL, 10);
     }
--- a/standin/spinst.c
+++ b/standin/spinst.c
@@ -5,7 +5,8 @@
  *
  * It sends a heartbeat to the control address every REPORT_MS (or -r MS). On
  * SIGTERM it reports that it is draining, continues to serve for DRAIN_MS,
- * deregisters and exits. With -H status checks are refused. With -k S it
+ * deregisters and exits. With -H status checks are refused, with
+ * -N answers repeat the sp-run of their request (spnode). With -k S it
  * closes connections that are idle for S seconds, as its Keep-Alive header
  * says.
  */
@@ -162,7 +163,7 @@
 
     inst.slots = 8;
     inst.report_ms = REPORT_MS;
-    while ((c = getopt(argc, argv, "l:i:s:z:c:n:b:r:k:H")) != -1) {
+    while ((c = getopt(argc, argv, "l:i:s:z:c:n:b:r:k:HN")) != -1) {
         switch (c) {
         case 'l':
             inst.addr = optarg;
@@ -188,6 +189,9 @@
         case 'k':
             inst.idle_s = (int)strtol(optarg, NULL, 10);
             break;
+        case 'N':
+            inst.names_runs = 1;
+            break;
         case 'H':
             inst.refuse_checks = 1;
             break;
@@ -202,7 +206,7 @@
         !inst.control) {
         fprintf(stderr, "usage: spinst -l ADDR -i ID -s SERVICE -z ZONE"
                         " -c CONTROL [-n SLOTS] [-b START_MS] [-r REPORT_MS]"
-                        " [-k IDLE_S] [-H]\n");
+                        " [-k IDLE_S] [-H] [-N]\n");
         return 2;
     }
     init_answers();
--- a/standin/spup.c
+++ b/standin/spup.c
@@ -251,12 +251,23 @@
     }
 }
 
+/* The name of the request, which each answer repeats. */
+static const char *
+run_name(const Job *j)
+{
+    const char *s = SpWebReq_Header(j->web, "sp-run");
+
+    return s ? s : "";
+}
+
 static void
 reply_status(Job *j, int status, const char *outcome, const char *why)
 {
-    SpHeader hs[] = {{"sp-outcome", outcome}, {"content-type", "text/plain"}};
+    SpHeader hs[] = {{"sp-outcome", outcome},
+                     {"content-type", "text/plain"},
+                     {"sp-run", run_name(j)}};
 
-    SpWebReq_Respond(j->web, status, hs, 2, why, strlen(why));
+    SpWebReq_Respond(j->web, status, hs, 3, why, strlen(why));
     end_job(j);
 }
 
@@ -265,7 +276,8 @@
 static void
 reply_complete(Job *j)
 {
-    static const SpHeader type = {"content-type", "application/json"};
+    const SpHeader hs[] = {{"content-type", "application/json"},
+                           {"sp-run", run_name(j)}};
     GString *s = g_string_new(NULL);
     int i;
 
@@ -278,7 +290,7 @@
     g_string_append(s, "\", \"sum\": \"");
     g_string_append_printf(s, "%016" PRIx64 "\"}\n",
                            SpHash(s->str, s->len, 0));
-    SpWebReq_Respond(j->web, 200, &type, 1, s->str, s->len);
+    SpWebReq_Respond(j->web, 200, hs, 2, s->str, s->len);
     g_string_free(s, TRUE);
     end_job(j);
 }
--- a/web/client.c
+++ b/web/client.c
@@ -15,6 +15,8 @@
     h2o_iovec_t reqbufs[2];
     int is_head;
     int has_length;
+    SpHeader name; /* in the arena; name.name is NULL if there is none */
+    int named;
     size_t max_response_bytes;
     int status;
     SpHeader *headers;
@@ -22,6 +24,8 @@
     GByteArray *body;
     uv_timer_t timer;
     int has_timer;
+    int starting;            /* 1: within SpWeb_Fetch */
+    const char *start_error; /* the connect failed within SpWeb_Fetch */
     int ended;
 };
 
@@ -71,7 +75,8 @@
 static void
 finish(SpFetch *f, SpFetchStatus end, const char *why)
 {
-    SpFetchResult r = {end, why, f->status, f->headers, f->nheaders, NULL, 0};
+    SpFetchResult r = {end,         why,  f->status, f->headers,
+                       f->nheaders, NULL, 0,         f->named};
 
     if (f->ended) {
         return;
@@ -131,6 +136,18 @@
     }
 }
 
+/* Returns 0 if the response names another request. */
+static int
+check_name(SpFetch *f)
+{
+    SpFetchResult r = {.headers = f->headers, .nheaders = f->nheaders};
+    const char *v =
+        f->name.name ? SpFetchResult_Header(&r, f->name.name) : NULL;
+
+    f->named = v != NULL;
+    return !v || strcmp(v, f->name.value) == 0;
+}
+
 static h2o_http1client_body_cb
 on_head(h2o_http1client_t *client, const char *errstr, int minor_version,
         int status, h2o_iovec_t msg, h2o_header_t *headers, size_t num_headers,
@@ -147,6 +164,10 @@
     }
     f->status = status;
     copy_headers(f, headers, num_headers);
+    if (!check_name(f)) {
+        finish(f, SP_FETCH_NO_RESPONSE, "response to another request");
+        return NULL;
+    }
     f->body = g_byte_array_new();
     if (status == 204 || status == 304 || f->is_head) {
         f->has_length = 1;
@@ -165,6 +186,10 @@
 {
     SpFetch *f = client->data;
 
+    if (errstr && f->starting) {
+        f->start_error = errstr;
+        return NULL;
+    }
     if (errstr) {
         finish(f, SP_FETCH_CONNECT_FAILED, errstr);
         return NULL;
@@ -196,6 +221,11 @@
                                    o->headers[i].value);
         }
     }
+    if (o->name) {
+        f->name.name = SpArena_Str(f->arena, o->name->name);
+        f->name.value = SpArena_Str(f->arena, o->name->value);
+        g_string_append_printf(s, "%s: %s\r\n", f->name.name, f->name.value);
+    }
     if (o->body_len || strcmp(o->method, "POST") == 0 ||
         strcmp(o->method, "PUT") == 0 || strcmp(o->method, "PATCH") == 0) {
         g_string_append_printf(s, "content-length: %zu\r\n", o->body_len);
@@ -219,6 +249,37 @@
     }
 }
 
+static void
+on_start_failed(uv_timer_t *t)
+{
+    SpFetch *f = t->data;
+
+    finish(f, SP_FETCH_CONNECT_FAILED, f->start_error);
+}
+
+static void
+start_timer(SpFetch *f, uv_timer_cb cb, int ms)
+{
+    if (!f->has_timer) {
+        f->has_timer = 1;
+        uv_timer_init(f->web->loop, &f->timer);
+        f->timer.data = f;
+    }
+    uv_timer_start(&f->timer, cb, (uint64_t)ms, 0);
+}
+
+static void
+connect_alone(SpFetch *f, const char *addr)
+{
+    char ip[32];
+    int port;
+
+    SpParse_Addr(addr, ip, sizeof ip, &port);
+    h2o_http1client_connect(&f->client, f, &f->web->client,
+                            h2o_iovec_init(ip, strlen(ip)), (uint16_t)port, 0,
+                            on_connect);
+}
+
 SpFetch *
 SpWeb_Fetch(SpWeb *w, const SpFetchOpts *o)
 {
@@ -233,13 +294,20 @@
     f->is_head = strcmp(o->method, "HEAD") == 0;
     build_head(f, o);
     if (o->timeout_ms > 0) {
-        f->has_timer = 1;
-        uv_timer_init(w->loop, &f->timer);
-        f->timer.data = f;
-        uv_timer_start(&f->timer, on_timeout, (uint64_t)o->timeout_ms, 0);
+        start_timer(f, on_timeout, o->timeout_ms);
+    }
+    f->starting = 1;
+    if (o->own_connection) {
+        connect_alone(f, o->addr);
+    }
+    else {
+        h2o_http1client_connect_with_pool(&f->client, f, &w->client,
+                                          get_pool(w, o->addr), on_connect);
+    }
+    f->starting = 0;
+    if (f->start_error) {
+        start_timer(f, on_start_failed, 0);
     }
-    h2o_http1client_connect_with_pool(&f->client, f, &w->client,
-                                      get_pool(w, o->addr), on_connect);
     return f;
 }
 
@@ -248,7 +316,9 @@
 {
     if (!f->ended) {
         f->ended = 1;
-        h2o_http1client_cancel(f->client);
+        if (!f->start_error) {
+            h2o_http1client_cancel(f->client);
+        }
         free_fetch(f);
     }
 }
--- a/web/web.h
+++ b/web/web.h
@@ -90,6 +90,7 @@
     int nheaders;
     const char *body; /* zero-terminated; NULL if no head was received */
     size_t body_len;
+    int named; /* 1: the response names the request (SpFetchOpts.name) */
 } SpFetchResult;
 
 typedef void (*SpFetchCb)(void *data, const SpFetchResult *f);
@@ -104,7 +105,11 @@
     size_t body_len;
     size_t max_response_bytes; /* size limit of the response body; 0: 16 MiB */
     int timeout_ms;            /* of the whole fetch; 0 if none */
-    SpFetchCb cb;              /* called once, never from within SpWeb_Fetch */
+    /* A header that a response may repeat; NULL: none. A response with another
+       value belongs to another request: the fetch ends without a response. */
+    const SpHeader *name;
+    int own_connection; /* 1: on a connection that carries no other request */
+    SpFetchCb cb;       /* called once, never from within SpWeb_Fetch */
     void *data;
 } SpFetchOpts;
 
