--- a/standin/spmesh.c
+++ b/standin/spmesh.c
@@ -21,7 +21,7 @@
 
 static const char all_faults[] =
     "kill,freeze,stop,herd,instance-crash,instance-freeze,leave,reject,reject,"
-    "repeat,late-rejections,late-rejections,repeat-at-once,lose,spoil,deny,"
+    "repeat,late-rejections,unnamed-rejections,repeat-at-once,lose,spoil,deny,"
     "give-up,abuse,burst,hup,config,store";
 
 static Mesh mesh;
