--- a/core/packed.c
+++ b/base/packed.c
@@ -1,4 +1,4 @@
-#include "core/packed.h"
+#include "base/packed.h"
 
 /* The encoding of an item, by its first byte. */
 typedef struct ItemFormat {
--- a/core/members.c
+++ b/core/members.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "core/members.h"
-#include "core/packed.h"
+#include "base/packed.h"
 
 #define WIRE_VERSION 1
 #define MAX_UPDATES 8
--- a/node/store.c
+++ b/node/store.c
@@ -2,7 +2,7 @@
 #include <msgpack.h>
 #include <string.h>
 
-#include "core/packed.h"
+#include "base/packed.h"
 #include "node/fns.h"
 
 #define LOG_TIMEOUT_MS 3000
--- a/relay/frame.c
+++ b/relay/frame.c
@@ -2,6 +2,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "base/packed.h"
 #include "relay/frame.h"
 
 /* Reals are sent as integral thousandths, which take fewer bytes. */
@@ -185,112 +186,6 @@
     return o->via.array.ptr;
 }
 
-/*
- * Containers name the number of their elements, for which the parser allocates
- * memory before it reads them. Each element takes a byte at least, so that the
- * elements of all containers of a message are fewer than its bytes.
- */
-
-/* Bytes of the length or the value, and what they say, by type from 0xc4. */
-typedef enum { FIXED, PAYLOAD, ELEMENTS, PAIRS } Meaning;
-
-static const struct {
-    unsigned char bytes, more; /* more: bytes beside the payload */
-    Meaning meaning;
-} types_from_c4[] = {
-    {1, 0, PAYLOAD},  {2, 0, PAYLOAD},  {4, 0, PAYLOAD}, /* bin */
-    {1, 1, PAYLOAD},  {2, 1, PAYLOAD},  {4, 1, PAYLOAD}, /* ext */
-    {4, 0, FIXED},    {8, 0, FIXED},                     /* float */
-    {1, 0, FIXED},    {2, 0, FIXED},    {4, 0, FIXED},
-    {8, 0, FIXED}, /* uint */
-    {1, 0, FIXED},    {2, 0, FIXED},    {4, 0, FIXED},
-    {8, 0, FIXED}, /* int */
-    {2, 0, FIXED},    {3, 0, FIXED},    {5, 0, FIXED},
-    {9, 0, FIXED},    {17, 0, FIXED},                    /* fixext */
-    {1, 0, PAYLOAD},  {2, 0, PAYLOAD},  {4, 0, PAYLOAD}, /* str */
-    {2, 0, ELEMENTS}, {4, 0, ELEMENTS},                  /* array */
-    {2, 0, PAIRS},    {4, 0, PAIRS}};                    /* map */
-
-#define FIRST_LONG_TYPE 0xc4
-#define LAST_LONG_TYPE 0xdf
-
-static uint64_t
-read_number(const unsigned char *p, size_t n)
-{
-    uint64_t v = 0;
-
-    while (n--) {
-        v = v << 8 | *p++;
-    }
-    return v;
-}
-
-/* Reads the head of one value at p; adds to *payload the bytes that follow it,
-   to *elements the values that it holds. Returns the bytes of the head. */
-static size_t
-read_head(const unsigned char *p, size_t n, uint64_t *payload,
-          uint64_t *elements)
-{
-    unsigned char c = *p;
-    size_t k = (size_t)c - FIRST_LONG_TYPE, bytes;
-    uint64_t v;
-
-    *payload = *elements = 0;
-    if (c >= 0x80 && c <= 0x8f) {
-        *elements = 2 * (uint64_t)(c & 0x0f); /* short map */
-    }
-    else if (c >= 0x90 && c <= 0x9f) {
-        *elements = c & 0x0f; /* short array */
-    }
-    else if (c >= 0xa0 && c <= 0xbf) {
-        *payload = c & 0x1f; /* short string */
-    }
-    if (c < FIRST_LONG_TYPE || c > LAST_LONG_TYPE) {
-        return 1;
-    }
-    bytes = types_from_c4[k].bytes;
-    if (bytes >= n) {
-        return n;
-    }
-    v = bytes <= sizeof v ? read_number(p + 1, bytes) : 0;
-    switch (types_from_c4[k].meaning) {
-    case FIXED:
-        break;
-    case PAYLOAD:
-        *payload = v + types_from_c4[k].more;
-        break;
-    case ELEMENTS:
-        *elements = v;
-        break;
-    case PAIRS:
-        *elements = 2 * v;
-        break;
-    }
-    return 1 + bytes;
-}
-
-/* Returns 0 if the message names more elements than it has bytes. */
-static int
-has_its_elements(const char *p, size_t n)
-{
-    uint64_t payload, elements, sum = 0;
-    size_t at = 0;
-
-    while (at < n) {
-        at += read_head((const unsigned char *)p + at, n - at, &payload,
-                        &elements);
-        if (payload > n - at) {
-            return 0;
-        }
-        at += payload;
-        sum += elements;
-        if (sum > n) {
-            return 0;
-        }
-    }
-    return 1;
-}
-
 static int
 decode_frame(const char *p, size_t n,
              int (*handle)(void *ctx, FrameType type, FrameIn *f), void *ctx)
@@ -299,7 +194,7 @@
     size_t off = 0;
     int ok = 0;
 
-    if (!has_its_elements(p, n)) {
+    if (!SpPacked_Check(p, n)) {
         return 0;
     }
     msgpack_unpacked_init(&u);
--- a/test/unit.c
+++ b/test/unit.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "core/core.h"
-#include "core/packed.h"
+#include "base/packed.h"
 #include "test/test.h"
 
 /*
