--- a/test/test.h
+++ b/test/test.h
@@ -10,6 +10,7 @@
 
 /* flow.c */
 extern const Unit flow_units[];
+extern const Unit wire_units[];
 
 /* directory.c */
 extern const Unit directory_units[];
--- a/test/unit.c
+++ b/test/unit.c
@@ -453,6 +453,7 @@
     CU_initialize_registry();
     add_units(tests);
     add_units(flow_units);
+    add_units(wire_units);
     add_units(directory_units);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
