--- a/standin/mesh.h
+++ b/standin/mesh.h
@@ -5,7 +5,7 @@
  *   spmesh.c    options, start, end
  *   meshplan.c  the deployment: its file, settings of the relays,
  * configuration meshproc.c  the relays and the store as processes meshinst.c
- * instances meshcall.c  callers meshbook.c  record of all requests, and the
+ * instances meshcall.c  callers meshrecord.c  record of all requests, and the
  * rules that are checked meshfault.c faults, drawn from the seed
  *
  * Times are in microseconds of SpHttp_Now unless a name says otherwise.
@@ -54,12 +54,12 @@
     char name[MESH_NAME], zone[MESH_NAME], ip[24];
     MeshService *service;
     uv_process_t proc;
-    int running;     /* 1: the process exists */
-    int ends;        /* 1: its end is expected */
-    int busy;        /* 1: a fault of it is in force */
-    int in_herd;     /* 1: that killed many at once */
-    SpPool *out;     /* callers' connections */
-    SpPool *control; /* reports of its instance */
+    int running;      /* 1: the process exists */
+    int ends;         /* 1: its end is expected */
+    int busy;         /* 1: a fault of it is in force */
+    int in_mass_kill; /* 1: that killed many at once */
+    SpPool *out;      /* callers' connections */
+    SpPool *control;  /* reports of its instance */
     struct Instance *inst;
 };
 
@@ -89,25 +89,31 @@
     uv_process_t store_proc;
     uint64_t version;
     int64_t started; /* start of the callers; 0: not yet */
-    int calm;        /* 1: no further request, no further fault */
+    int ending;      /* 1: no further request, no further fault */
     int own_ends;    /* relays that ended by themselves */
     double give_up;  /* part of the callers that leave early */
     double abuse;    /* part of the callers that retry at once, and often */
     double burst;    /* factor on the rates; 1: none */
-    struct Book *book;
+    struct Record *record;
 };
 
 /* meshplan.c */
 /* load_plan returns 0 and sets err if the file is invalid. */
 int load_plan(Mesh *m, GError **err);
+/* Both return NULL if there is no such route. */
 MeshRoute *route_named(Mesh *m, const char *name);
 MeshRoute *route_of_path(Mesh *m, const char *path);
+/* write_settings fills the template in as the platform does; returns the name
+   of the file, to be freed, or NULL and sets err. */
 char *write_settings(const Node *n, GError **err);
+/* publish_config writes the next version of the configuration to the store;
+   all but the first send some routes to other services. */
 void publish_config(Mesh *m);
 /* set_store_mode selects how the store responds (spstore). */
 void set_store_mode(Mesh *m, const char *mode);
 
 /* meshproc.c */
+/* Both return 0 if the process cannot be started. */
 int start_store(Mesh *m);
 int start_relay(Node *n);
 void signal_relay(Node *n, int signum);
@@ -127,28 +133,34 @@
 
 /* meshcall.c */
 void tick_callers(Mesh *m, int64_t now);
-int callers_pending(const Mesh *m);
 
-/* meshbook.c */
-struct Book *new_book(void);
+/* meshrecord.c */
+struct Record *new_record(void);
 /* Each call names the attempt; node is where it happened. */
-void book_sent(Mesh *m, const char *id, const MeshRoute *rt, const Node *node);
-void book_run(Mesh *m, const char *id, const Node *node, int conn);
-void book_rejected(Mesh *m, const char *id, const Node *node, int conn);
-void book_repeated(Mesh *m, const char *id, const Node *node, int conn,
-                   int rejection);
+void record_sent(Mesh *m, const char *id, const MeshRoute *rt,
+                 const Node *node);
+void record_run(Mesh *m, const char *id, const Node *node, int conn);
+void record_rejected(Mesh *m, const char *id, const Node *node, int conn);
+void record_repeated(Mesh *m, const char *id, const Node *node, int conn,
+                     int rejection);
 /* status: 0 if there was no whole answer */
-void book_answered(Mesh *m, const char *id, int status, const char *why);
-/* book_foreign records a success that names another request. */
-void book_foreign(Mesh *m, const char *id);
-void book_note(Mesh *m, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
-/* report_book prints the counts; returns the number of violations. */
-int report_book(Mesh *m);
+void record_answered(Mesh *m, const char *id, int status, const char *why);
+/* record_foreign records a success that names another request. */
+void record_foreign(Mesh *m, const char *id);
+/* record_note prints a line with the time since the start of the callers. */
+void record_note(Mesh *m, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+/* report_record prints the counts; returns the number of violations. */
+int report_record(Mesh *m);
 
 /* meshfault.c */
+/* tick_faults begins and ends faults. */
 void tick_faults(Mesh *m, int64_t now);
+/* check_fault_names returns 0 if one of the names, separated by commas, is
+   unknown. */
 int check_fault_names(const char *names);
 
+/* spmesh.c: numbers drawn from the seed. mesh_unit returns one from 0 to 1,
+   mesh_chance 1 with probability p. */
 double mesh_unit(Mesh *m);
 int mesh_chance(Mesh *m, double p);
 /* mesh_draw returns a number from 0 to n - 1. */
--- a/standin/meshcall.c
+++ b/standin/meshcall.c
@@ -52,7 +52,7 @@
 {
     int64_t now = SpHttp_Now();
 
-    if (c->retries_left <= 0 || c->m->calm || now >= c->deadline) {
+    if (c->retries_left <= 0 || c->m->ending || now >= c->deadline) {
         free_caller(c);
         return;
     }
@@ -72,7 +72,7 @@
 
     c->x = NULL;
     if (end != SP_POOL_OK) {
-        book_answered(c->m, c->id, 0, error);
+        record_answered(c->m, c->id, 0, error);
         come_back(c, c->route->idempotent || end == SP_POOL_NOT_SENT
                          ? 50 * SP_MS
                          : SP_SEC * 1000);
@@ -80,9 +80,9 @@
     }
     id = SpMsg_Header(m, "Siskinpond-Attempt-Id");
     if (m->status == 200 && (!id || strcmp(id, c->id) != 0)) {
-        book_foreign(c->m, c->id);
+        record_foreign(c->m, c->id);
     }
-    book_answered(c->m, c->id, m->status, "");
+    record_answered(c->m, c->id, m->status, "");
     if (m->status == 503 || m->status == 429) {
         come_back(c, retry_after_us(m));
     }
@@ -118,7 +118,7 @@
     o.body = BODY;
     o.body_len = with_body ? strlen(BODY) : 0;
     o.own_connection = mesh_chance(m, 0.2);
-    book_sent(m, c->id, c->route, c->node);
+    record_sent(m, c->id, c->route, c->node);
     c->x = SpPool_Send(c->node->out, &o);
 }
 
@@ -157,7 +157,7 @@
 {
     GList *k, *next;
 
-    if (m->started && !m->calm) {
+    if (m->started && !m->ending) {
         callers.last_tick = callers.last_tick ? callers.last_tick : now;
         add_callers(m, now);
     }
@@ -167,7 +167,7 @@
         next = k->next;
         if (c->x && now >= MIN(c->leave_at, c->deadline)) {
             SpExchange_Abort(c->x);
-            book_answered(m, c->id, 0, "left");
+            record_answered(m, c->id, 0, "left");
             free_caller(c);
         }
         else if (!c->x && now >= c->send_at) {
@@ -180,10 +180,3 @@
         }
     }
 }
-
-int
-callers_pending(const Mesh *m)
-{
-    (void)m;
-    return (int)callers.list.length;
-}
--- a/standin/meshfault.c
+++ b/standin/meshfault.c
@@ -144,7 +144,7 @@
  */
 
 static int
-begin_herd(Mesh *m, Injector *j, const Fault *f)
+begin_mass_kill(Mesh *m, Injector *j, const Fault *f)
 {
     guint i;
 
@@ -152,7 +152,7 @@
     for (i = 0; i < m->nodes->len; i++) {
         Node *n = g_ptr_array_index(m->nodes, i);
         if (!n->busy && n->running && mesh_chance(m, 0.5)) {
-            n->busy = n->in_herd = 1;
+            n->busy = n->in_mass_kill = 1;
             signal_relay(n, f->signum);
         }
     }
@@ -160,16 +160,16 @@
 }
 
 static void
-end_herd(Mesh *m, Injector *j)
+end_mass_kill(Mesh *m, Injector *j)
 {
     guint i;
 
     (void)j;
     for (i = 0; i < m->nodes->len; i++) {
         Node *n = g_ptr_array_index(m->nodes, i);
-        if (n->in_herd) {
+        if (n->in_mass_kill) {
             start_relay(n);
-            n->busy = n->in_herd = 0;
+            n->busy = n->in_mass_kill = 0;
         }
     }
 }
@@ -267,7 +267,7 @@
     {"freeze", 500, 4500, begin_signal, end_freeze, SIGSTOP, {{0}}},
     {"stop", 5900, 1, begin_signal, end_stop, SIGTERM, {{0}}},
     {"hup", 100, 500, begin_signal, end_node, SIGHUP, {{0}}},
-    {"herd", 500, 1500, begin_herd, end_herd, SIGKILL, {{0}}},
+    {"kill-many", 500, 1500, begin_mass_kill, end_mass_kill, SIGKILL, {{0}}},
     {"instance-crash",
      500,
      3000,
@@ -404,10 +404,10 @@
     }
     j->fault = f;
     j->until = now + (f->min_ms + mesh_draw(m, f->spread_ms)) * SP_MS;
-    book_note(m, "begin %s %s", f->name,
-              j->node      ? j->node->name
-              : j->service ? j->service->name
-                           : "");
+    record_note(m, "begin %s %s", f->name,
+                j->node      ? j->node->name
+                : j->service ? j->service->name
+                             : "");
 }
 
 static void
@@ -419,10 +419,10 @@
     if (j->until != until) {
         return; /* it needs more time */
     }
-    book_note(m, "end %s %s", j->fault->name,
-              j->node      ? j->node->name
-              : j->service ? j->service->name
-                           : "");
+    record_note(m, "end %s %s", j->fault->name,
+                j->node      ? j->node->name
+                : j->service ? j->service->name
+                             : "");
     j->fault = NULL;
     j->until = now + (100 + mesh_draw(m, 1000)) * SP_MS;
 }
@@ -440,7 +440,7 @@
         if (j->fault) {
             end_present(m, j, now);
         }
-        else if (!m->calm) {
+        else if (!m->ending) {
             begin_next(m, j, now);
         }
     }
--- a/standin/meshinst.c
+++ b/standin/meshinst.c
@@ -115,11 +115,11 @@
                            KEEP_ALIVE, strlen(body), body);
     if (mesh_chance(m, s->repeats)) {
         c->late = g_string_new(t->str);
-        book_repeated(m, id, c->i->n, c->number, rejection);
+        record_repeated(m, id, c->i->n, c->number, rejection);
     }
     else if (mesh_chance(m, s->repeats_at_once)) {
         send_text(c, t->str);
-        book_repeated(m, id, c->i->n, c->number, rejection);
+        record_repeated(m, id, c->i->n, c->number, rejection);
     }
     send_text(c, t->str);
     g_string_free(t, TRUE);
@@ -131,7 +131,7 @@
 {
     Mesh *m = c->i->n->m;
 
-    book_rejected(m, id, c->i->n, c->number);
+    record_rejected(m, id, c->i->n, c->number);
     answer(c, mesh_chance(m, c->i->n->service->unnamed) ? NULL : id, 503,
            NOT_EXECUTED, "");
 }
@@ -197,7 +197,7 @@
     r->call = NULL;
     r->call_failed = end != SP_POOL_OK || m->status != 200;
     g_snprintf(id, sizeof id, "%s.1", r->id);
-    book_answered(r->i->n->m, id, end == SP_POOL_OK ? m->status : 0, error);
+    record_answered(r->i->n->m, id, end == SP_POOL_OK ? m->status : 0, error);
 }
 
 /* The run's own call, through the relay beside it. */
@@ -216,7 +216,7 @@
                "\r\n\r\n",
                rt->method, rt->name, id, id,
                MAX((r->deadline - SpHttp_Now()) / SP_MS, 1));
-    book_sent(n->m, id, rt, n);
+    record_sent(n->m, id, rt, n);
     o.head = head;
     o.head_len = strlen(head);
     r->call = SpPool_Send(n->out, &o);
@@ -232,7 +232,7 @@
     r->begun = 1;
     i->running++;
     g_ptr_array_add(i->runs, r);
-    book_run(m, r->id, i->n, r->c->number);
+    record_run(m, r->id, i->n, r->c->number);
     r->end_at = SpHttp_Now() +
                 (int64_t)(work * (0.4 + 1.2 * mesh_unit(m)) * (double)SP_MS);
     if (r->route->call) {
--- a/standin/meshplan.c
+++ b/standin/meshplan.c
@@ -274,8 +274,8 @@
 {
     Mesh *mesh = data;
 
-    book_note(mesh, "configuration %" PRIx64 ": %s", mesh->version,
-              end == SP_POOL_OK ? SpHttp_Reason(m->status) : error);
+    record_note(mesh, "configuration %" PRIx64 ": %s", mesh->version,
+                end == SP_POOL_OK ? SpHttp_Reason(m->status) : error);
 }
 
 /* Every other configuration sends some routes to another service, and may
--- a/standin/meshproc.c
+++ b/standin/meshproc.c
@@ -56,8 +56,8 @@
 
     n->running = 0;
     if (!n->ends) {
-        book_note(n->m, "ended by itself: %s status %" PRId64 " signal %d",
-                  n->name, status, signum);
+        record_note(n->m, "ended by itself: %s status %" PRId64 " signal %d",
+                    n->name, status, signum);
         n->m->own_ends++;
     }
     uv_close((uv_handle_t *)p, NULL);
--- a/standin/meshbook.c
+++ b/standin/meshrecord.c
@@ -16,11 +16,11 @@
     GString *story; /* of a request that is not idempotent */
 } Entry;
 
-typedef struct Book {
+typedef struct Record {
     GHashTable *entries; /* attempt id to Entry */
     int sent, served, refused, failed, unanswered;
     int runs, rejections, repeats, repeated_rejections;
-} Book;
+} Record;
 
 static void
 free_entry(gpointer p)
@@ -33,10 +33,10 @@
     g_free(e);
 }
 
-Book *
-new_book(void)
+Record *
+new_record(void)
 {
-    Book *b = g_new0(Book, 1);
+    Record *b = g_new0(Record, 1);
 
     b->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry);
@@ -50,7 +50,7 @@
 }
 
 void
-book_note(Mesh *m, const char *fmt, ...)
+record_note(Mesh *m, const char *fmt, ...)
 {
     va_list ap;
 
@@ -65,7 +65,7 @@
 static Entry *
 entry_of(const Mesh *m, const char *id)
 {
-    return id ? g_hash_table_lookup(m->book->entries, id) : NULL;
+    return id ? g_hash_table_lookup(m->record->entries, id) : NULL;
 }
 
 /* Appends a step to the story of a request. */
@@ -85,28 +85,28 @@
 }
 
 void
-book_sent(Mesh *m, const char *id, const MeshRoute *rt, const Node *node)
+record_sent(Mesh *m, const char *id, const MeshRoute *rt, const Node *node)
 {
     Entry *e = entry_of(m, id);
 
-    m->book->sent++;
+    m->record->sent++;
     if (!e) { /* a run that is repeated makes its calls again */
         e = g_new0(Entry, 1);
         e->route = rt;
         e->story = rt->idempotent ? NULL : g_string_new(NULL);
-        g_hash_table_insert(m->book->entries, g_strdup(id), e);
+        g_hash_table_insert(m->record->entries, g_strdup(id), e);
     }
     tell(m, e, "sent", node, 0);
 }
 
 void
-book_run(Mesh *m, const char *id, const Node *node, int conn)
+record_run(Mesh *m, const char *id, const Node *node, int conn)
 {
     Entry *e = entry_of(m, id);
 
-    m->book->runs++;
+    m->record->runs++;
     if (!e) {
-        book_note(m, "UNASKED %s at %s", id, node->name);
+        record_note(m, "UNASKED %s at %s", id, node->name);
         return;
     }
     e->runs++;
@@ -114,23 +114,23 @@
 }
 
 void
-book_rejected(Mesh *m, const char *id, const Node *node, int conn)
+record_rejected(Mesh *m, const char *id, const Node *node, int conn)
 {
-    m->book->rejections++;
+    m->record->rejections++;
     tell(m, entry_of(m, id), "rejected", node, conn);
 }
 
 void
-book_repeated(Mesh *m, const char *id, const Node *node, int conn,
-              int rejection)
+record_repeated(Mesh *m, const char *id, const Node *node, int conn,
+                int rejection)
 {
-    m->book->repeats++;
-    m->book->repeated_rejections += rejection;
+    m->record->repeats++;
+    m->record->repeated_rejections += rejection;
     tell(m, entry_of(m, id), "repeated", node, conn);
 }
 
 void
-book_answered(Mesh *m, const char *id, int status, const char *why)
+record_answered(Mesh *m, const char *id, int status, const char *why)
 {
     Entry *e = entry_of(m, id);
     char what[64];
@@ -144,21 +144,21 @@
                why);
     tell(m, e, what, NULL, 0);
     if (status == 200) {
-        m->book->served++;
+        m->record->served++;
     }
     else if (status == 503 || status == 429 || status == 408) {
-        m->book->refused++;
+        m->record->refused++;
     }
     else if (status) {
-        m->book->failed++;
+        m->record->failed++;
     }
     else {
-        m->book->unanswered++;
+        m->record->unanswered++;
     }
 }
 
 void
-book_foreign(Mesh *m, const char *id)
+record_foreign(Mesh *m, const char *id)
 {
     Entry *e = entry_of(m, id);
 
@@ -208,7 +208,7 @@
                              {"FOREIGN", has_foreign_answer}};
 
 static int
-check_rule(const Book *b, const Rule *rule)
+check_rule(const Record *b, const Rule *rule)
 {
     GHashTableIter it;
     gpointer id, e;
@@ -229,9 +229,9 @@
 }
 
 int
-report_book(Mesh *m)
+report_record(Mesh *m)
 {
-    const Book *b = m->book;
+    const Record *b = m->record;
     int counts[G_N_ELEMENTS(rules)], sum = m->own_ends;
     size_t i;
 
--- a/standin/spmesh.c
+++ b/standin/spmesh.c
@@ -20,13 +20,14 @@
 #define SETTLE_US (9 * SP_SEC)
 
 static const char all_faults[] =
-    "kill,freeze,stop,herd,instance-crash,instance-freeze,leave,reject,reject,"
+    "kill,freeze,stop,kill-many,instance-crash,instance-freeze,leave,reject,"
+    "reject,"
     "repeat,late-rejections,unnamed-rejections,repeat-at-once,lose,spoil,deny,"
     "give-up,abuse,burst,hup,config,store";
 
 static Mesh mesh;
 static uv_timer_t timer;
-static int64_t began, calm_since;
+static int64_t began, ending_since;
 
 double
 mesh_unit(Mesh *m)
@@ -74,10 +75,10 @@
     if (!mesh.started && (double)(now - began) > mesh.o.warm_up_s * SP_SEC) {
         mesh.started = now;
     }
-    if (mesh.started && !mesh.calm &&
+    if (mesh.started && !mesh.ending &&
         (double)(now - mesh.started) > mesh.o.seconds * SP_SEC) {
-        mesh.calm = 1;
-        calm_since = now;
+        mesh.ending = 1;
+        ending_since = now;
     }
     tick_instances(&mesh, now);
     tick_callers(&mesh, now);
@@ -85,7 +86,7 @@
         tick_faults(&mesh, now);
     }
     tick_pools(&mesh, now);
-    if (mesh.calm && now - calm_since > SETTLE_US) {
+    if (mesh.ending && now - ending_since > SETTLE_US) {
         uv_stop(mesh.loop);
     }
 }
@@ -210,7 +211,7 @@
     catch_signals();
     mesh.rand = mesh.o.seed * UINT64_C(0x9e3779b97f4a7c15) + 1;
     mesh.nodes = g_ptr_array_new();
-    mesh.book = new_book();
+    mesh.record = new_record();
     mesh.burst = 1;
     g_snprintf(mesh.net, sizeof mesh.net, "127.%d", 10 + getpid() % 240);
     if (!load_plan(&mesh, &err)) {
@@ -230,7 +231,7 @@
     uv_timer_init(mesh.loop, &timer);
     uv_timer_start(&timer, on_tick, TICK_MS, TICK_MS);
     uv_run(mesh.loop, UV_RUN_DEFAULT);
-    broken = report_book(&mesh);
+    broken = report_record(&mesh);
     end_all(&mesh);
     return broken ? 1 : 0;
 }
