Test: walks.t waits for the line of each process before it reads the logs

Cause: a relay writes its buffered lines at its next tick; the test waited only for the line of front-1. Evidence: in 40 requests of this walk, one after the other, the line of back-1 was not yet written 10 times when that of front-1 was, and never missing in the end.

--- a/test/walks.t
+++ b/test/walks.t
@@ -14,6 +14,11 @@
         sed -E 's/^at=[^ ]* level=[^ ]* prog=[^ ]* //; s/(ms|left_ms|wait_ms|queued|running|silent_ms)=-?[0-9]+/\1=N/g; s/share=[0-9.]+/share=S/'
 }
 
+# Processes write their buffered lines every few milliseconds, each at its own time.
+logged() { # NODE EVENT ID: waits until the node has written this line
+    until_ok 5 grep -q "event=$2 id=$3 " "$DIR/relay-$1.out"
+}
+
 explain() { # ID: the output of spctl explain, varying values masked
     "$OUT/spctl" explain "$1" "$DIR"/relay-*.out |
         sed -nE "s/^$1:/ID:/; s/[0-9]+ (ms|ran|waited)/N \\1/g; s/tried: [0-9]+/tried: N/; s/share of [0-9.]+/share of S/; s/^ +[+-][0-9.]+ s/-/; /name=|came to believe/!p"
@@ -43,12 +48,14 @@
     sleep 1
 done
 echo "the caller got: $(cat "$DIR/$id")"
+logged back-1 run-refused "$id"
 trace "$id" | sed "s/$id/ID/"
 explain "$id"
 
 echo "2. timed out because the instance hangs"
 echo "the caller got: $(code front-1 hung GET /short/hang)"
-until_ok 5 grep -q 'event=run-dropped id=hung ' "$DIR/relay-back-1.out"
+logged back-1 run-dropped hung
+logged front-1 call-refused hung
 trace hung
 explain hung
 
@@ -59,7 +66,7 @@
 kill -9 "$(cat "$DIR/relay-back-1.pid")"
 wait "$caller"
 echo "the caller got: $(cat "$DIR/lost")"
-until_ok 5 grep -q 'event=call-refused id=lost ' "$DIR/relay-front-1.out"
+logged front-1 call-refused lost
 trace lost
 explain lost
 "$OUT/spctl" explain lost "$DIR"/relay-*.out |
@@ -83,6 +90,7 @@
 relay back-1
 until_ok 10 served front-1 back-again GET /safe/back-again
 echo "the caller got: $(code front-1 unstated POST /once/unstated-503)"
-until_ok 5 grep -q 'event=call-refused id=unstated ' "$DIR/relay-front-1.out"
+logged back-1 refusal-unstated unstated
+logged front-1 call-refused unstated
 trace unstated | sed -E 's/conn=[0-9]+/conn=N/'
 explain unstated
