Relay: a connection to the instance is reused only within 2 s of its last answer

Callers saw: after the open connections to an instance had gone silent, each of them lost one more request, however long ago that was: 3 of 4 requests sent 3 s later were answered 504. Cause: an idle connection was reused for up to 8 s, and only a request that was lost on it showed that it no longer responds. Evidence: test/instance-silent.t, known red since it was written. Change: the limit is 2 s, under the 3 s after which requests have to be answered. Weighed: status checks over idle connections (they wait for a slot, and their answers bear no id, so each would use up its connection anyway); sending an idempotent request again (says nothing about the others).

--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -23,6 +23,9 @@
    a body can exist twice while it is passed on. */
 #define BODY_SHARE 4
 #define MB 1048576.0
+/* A connection to the instance that has been idle for longer is not reused: if
+   it no longer responds, only a request that is lost on it would show that. */
+#define INSTANCE_IDLE_US (2 * SP_SEC)
 /* Interval of the check of the settings file for changes. */
 #define FILE_CHECK_US (2 * SP_SEC)
 /* Size of the log buffer, and limit of lines per second. */
@@ -307,7 +310,7 @@
     static const SpHttpLimits limits = {16384, 64 << 20, 5 * SP_SEC,
                                         60 * SP_SEC};
     SpPoolOpts po = {.connect_us = 1 * SP_SEC,
-                     .idle_us = 8 * SP_SEC,
+                     .idle_us = INSTANCE_IDLE_US,
                      .body_bytes = 64 << 20,
                      .memory = &n->body_memory};
 
