Tests: faults on the links between relays, and requests held beyond their deadline

A new check, HELD: a caller has no answer 250 ms after its deadline, though its relay was neither signaled nor started since it sent the request. The table of faults names a pair of functions for each kind, in place of two columns.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 SRC = $(wildcard */*.c)
 HDR = $(wildcard */*.h)
 
-all: $(PROGS)
+all: $(PROGS) $(OUT)/spredirect.so
 
 $(OUT)/%.o: %.c
 	@mkdir -p $(@D)
@@ -69,6 +69,11 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ -lpthread $(RELAYLIBS)
 
+$(OUT)/spredirect.so: standin/spredirect.c standin/meshport.h
+	@mkdir -p $(@D)
+	@echo ld $@
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -fPIC -shared -o $@ $< -ldl
+
 $(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(filter-out test/fuzz%,\
 		$(wildcard test/*.c))) $(PLATOBJ) $(OUT)/relay/frame.o \
 		$(OUT)/libsp.a
--- a/standin/mesh.h
+++ b/standin/mesh.h
@@ -2,11 +2,14 @@
  * mesh: declarations shared by the files of spmesh, which plays the callers
  * and the instances of a whole deployment around real relays.
  *
- *   spmesh.c    options, start, end
- *   meshplan.c  the deployment: its file, settings of the relays,
- * configuration meshproc.c  the relays and the store as processes meshinst.c
- * instances meshcall.c  callers meshrecord.c  record of all requests, and the
- * rules that are checked meshfault.c faults, drawn from the seed
+ *   spmesh.c      options, start, end
+ *   meshplan.c    the deployment: its file, settings, configuration
+ *   meshproc.c    the relays and the store as processes
+ *   meshinst.c    instances
+ *   meshcall.c    callers
+ *   meshlink.c    proxies between the relays
+ *   meshrecord.c  record of all requests, and the rules that are checked
+ *   meshfault.c   faults, drawn from the seed
  *
  * Times are in microseconds of SpHttp_Now unless a name says otherwise.
  */
@@ -14,6 +17,7 @@
 #define SP_STANDIN_MESH_H
 
 #include "http/priv.h"
+#include "standin/meshport.h"
 
 #define MESH_NAME 32
 #define MESH_MAX_ROUTES 16
@@ -48,6 +52,12 @@
     struct MeshRoute *call; /* made by each run; NULL: none */
 } MeshRoute;
 
+/* Faults in force on the links that were opened to a relay. */
+typedef struct MeshNet {
+    int holds_in, holds_out; /* no bytes to it, or from it */
+    int64_t delay_us;        /* of all bytes, both ways */
+} MeshNet;
+
 /* A relay as a process, and what is beside it. */
 struct Node {
     Mesh *m;
@@ -58,13 +68,18 @@
     int ends;         /* 1: its end is expected */
     int busy;         /* 1: a fault of it is in force */
     int in_mass_kill; /* 1: that killed many at once */
-    SpPool *out;      /* callers' connections */
-    SpPool *control;  /* reports of its instance */
+    int frozen;
+    int64_t signaled_at; /* time of the last signal or start */
+    SpPool *out;         /* callers' connections */
+    SpPool *control;     /* reports of its instance */
+    uv_tcp_t proxy;      /* listens for links to it */
+    MeshNet net;
     struct Instance *inst;
 };
 
 typedef struct MeshOpts {
     const char *relay, *store, *plan, *template, *dir;
+    const char *redirect; /* spredirect.so; NULL: no proxies */
     uint64_t seed;
     double seconds, load; /* load: factor on the rates of the plan */
     double size;          /* factor on the numbers of instances */
@@ -84,6 +99,7 @@
     int nroutes;
     int nzones;
     GPtrArray *nodes; /* of Node */
+    GPtrArray *links; /* of Link (meshlink.c) */
     char store_addr[32];
     SpPool *store; /* the operator's connections */
     uv_process_t store_proc;
@@ -134,6 +150,14 @@
 /* meshcall.c */
 void tick_callers(Mesh *m, int64_t now);
 
+/* meshlink.c */
+/* listen_for_links returns 0 if the address cannot be listened on. */
+int listen_for_links(Node *n);
+void tick_links(Mesh *m, int64_t now);
+/* break_links resets a share of the links that were opened to the relay, or
+   makes them silent for good. */
+void break_links(Node *n, double share, int silently);
+
 /* meshrecord.c */
 struct Record *new_record(void);
 /* Each call names the attempt; node is where it happened. */
@@ -145,6 +169,9 @@
                      int rejection);
 /* status: 0 if there was no whole answer */
 void record_answered(Mesh *m, const char *id, int status, const char *why);
+/* record_held records that an undisturbed relay held a request beyond the
+   deadline of its caller. */
+void record_held(Mesh *m, const char *id);
 /* record_foreign records a success that names another request. */
 void record_foreign(Mesh *m, const char *id);
 /* record_note prints a line with the time since the start of the callers. */
--- a/standin/meshcall.c
+++ b/standin/meshcall.c
@@ -1,8 +1,9 @@
 /*
  * Callers of spmesh: requests at the rates of the plan, each through the relay
- * of a random node, on kept connections or on a fresh one. A caller leaves at
- * its deadline. After a refusal it comes back once with a new attempt id, as
- * Retry-After says; it repeats an idempotent request after any failure.
+ * of a random node, on kept connections or on a fresh one. A caller leaves
+ * shortly after its deadline. After a refusal it comes back once with a new
+ * attempt id, as Retry-After says; it repeats an idempotent request after any
+ * failure.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,8 @@
 #include "standin/mesh.h"
 
 #define EARLY_LEAVE_US (150 * SP_MS)
+/* For an answer that is sent at the deadline to arrive. */
+#define ANSWER_SLACK_US (250 * SP_MS)
 #define MAX_WAIT_SHARE 0.33 /* of the time left */
 #define BODY "0123456789abcdef0123456789abcdef"
 
@@ -19,6 +22,7 @@
     char id[64];
     int retries_left;
     int64_t deadline, leave_at, send_at; /* send_at: 0 once it is sent */
+    int64_t sent_at;
     Node *node;
     SpExchange *x;
     GList link; /* in callers.list */
@@ -103,6 +107,7 @@
     int with_body = strcmp(c->route->method, "GET") != 0;
 
     c->send_at = 0;
+    c->sent_at = now;
     c->node =
         g_ptr_array_index(m->nodes, (guint)mesh_draw(m, (int)m->nodes->len));
     g_snprintf(c->id, sizeof c->id, "c%" PRIu64, ++callers.count);
@@ -131,8 +136,8 @@
     c->route = rt;
     c->retries_left = mesh_chance(m, m->abuse) ? 4 : 1;
     c->deadline = now + rt->deadline_ms * SP_MS;
-    c->leave_at =
-        mesh_chance(m, m->give_up) ? now + EARLY_LEAVE_US : c->deadline;
+    c->leave_at = mesh_chance(m, m->give_up) ? now + EARLY_LEAVE_US
+                                             : c->deadline + ANSWER_SLACK_US;
     c->link.data = c;
     g_queue_push_tail_link(&callers.list, &c->link);
     send_request(c, now);
@@ -152,6 +157,21 @@
     }
 }
 
+/* Ends a request that was not answered in time. */
+static void
+leave(Caller *c, int64_t now)
+{
+    const Node *n = c->node;
+
+    SpExchange_Abort(c->x);
+    record_answered(c->m, c->id, 0, "left");
+    if (now >= c->deadline && n->running && !n->frozen &&
+        n->signaled_at < c->sent_at) {
+        record_held(c->m, c->id);
+    }
+    free_caller(c);
+}
+
 void
 tick_callers(Mesh *m, int64_t now)
 {
@@ -165,10 +185,8 @@
     for (k = callers.list.head; k; k = next) {
         Caller *c = k->data;
         next = k->next;
-        if (c->x && now >= MIN(c->leave_at, c->deadline)) {
-            SpExchange_Abort(c->x);
-            record_answered(m, c->id, 0, "left");
-            free_caller(c);
+        if (c->x && now >= c->leave_at) {
+            leave(c, now);
         }
         else if (!c->x && now >= c->send_at) {
             if (now < c->deadline) {
--- a/standin/meshfault.c
+++ b/standin/meshfault.c
@@ -30,12 +30,16 @@
     int64_t until;
 } Injector;
 
+typedef struct FaultOps {
+    /* begin returns 0 if the fault is not possible now. */
+    int (*begin)(Mesh *m, Injector *j, const Fault *f);
+    void (*end)(Mesh *m, Injector *j);
+} FaultOps;
+
 struct Fault {
     const char *name;
     int min_ms, spread_ms; /* how long it is in force */
-    int (*begin)(Mesh *m, Injector *j,
-                 const Fault *f); /* 0: not possible now */
-    void (*end)(Mesh *m, Injector *j);
+    const FaultOps *ops;
     int signum; /* for the relay */
     Field fields[MAX_FIELDS];
 };
@@ -262,95 +266,112 @@
         offsetof(Mesh, field), during, after                                  \
     }
 
+/*
+ * Faults of the links to one node.
+ */
+
+static int
+begin_hold(Mesh *m, Injector *j, const Fault *f)
+{
+    if (!m->o.redirect || !take_node(m, j)) {
+        return 0;
+    }
+    j->node->net.holds_in = strcmp(f->name, "link-hold-out") != 0;
+    j->node->net.holds_out = strcmp(f->name, "link-hold-in") != 0;
+    return 1;
+}
+
+static int
+begin_delay(Mesh *m, Injector *j, const Fault *f)
+{
+    (void)f;
+    if (!m->o.redirect || !take_node(m, j)) {
+        return 0;
+    }
+    j->node->net.delay_us = (20 + mesh_draw(m, 400)) * SP_MS;
+    return 1;
+}
+
+static int
+begin_break(Mesh *m, Injector *j, const Fault *f)
+{
+    if (!m->o.redirect || !take_node(m, j)) {
+        return 0;
+    }
+    break_links(j->node, 0.5, strcmp(f->name, "link-silent") == 0);
+    return 1;
+}
+
+static void
+end_links(Mesh *m, Injector *j)
+{
+    static const MeshNet none;
+
+    j->node->net = none;
+    end_node(m, j);
+}
+
+static const FaultOps kill_ops = {begin_signal, end_kill};
+static const FaultOps freeze_ops = {begin_signal, end_freeze};
+static const FaultOps stop_ops = {begin_signal, end_stop};
+static const FaultOps signal_ops = {begin_signal, end_node};
+static const FaultOps mass_kill_ops = {begin_mass_kill, end_mass_kill};
+static const FaultOps crash_ops = {begin_instance_freeze, end_instance_crash};
+static const FaultOps inst_freeze_ops = {begin_instance_freeze,
+                                         end_instance_freeze};
+static const FaultOps leave_ops = {begin_leave, end_instance_crash};
+static const FaultOps service_ops = {begin_service, end_service};
+static const FaultOps mesh_ops = {begin_mesh, end_mesh};
+static const FaultOps config_ops = {begin_config, end_nothing};
+static const FaultOps store_ops = {begin_store, end_store};
+static const FaultOps hold_ops = {begin_hold, end_links};
+static const FaultOps delay_ops = {begin_delay, end_links};
+static const FaultOps break_ops = {begin_break, end_links};
+
 static const Fault faults[] = {
-    {"kill", 300, 3000, begin_signal, end_kill, SIGKILL, {{0}}},
-    {"freeze", 500, 4500, begin_signal, end_freeze, SIGSTOP, {{0}}},
-    {"stop", 5900, 1, begin_signal, end_stop, SIGTERM, {{0}}},
-    {"hup", 100, 500, begin_signal, end_node, SIGHUP, {{0}}},
-    {"kill-many", 500, 1500, begin_mass_kill, end_mass_kill, SIGKILL, {{0}}},
-    {"instance-crash",
-     500,
-     3000,
-     begin_instance_freeze,
-     end_instance_crash,
-     0,
-     {{0}}},
-    {"instance-freeze",
-     500,
-     3000,
-     begin_instance_freeze,
-     end_instance_freeze,
-     0,
-     {{0}}},
-    {"leave", 2500, 1000, begin_leave, end_instance_crash, 0, {{0}}},
-    {"reject",
-     3000,
-     5000,
-     begin_service,
-     end_service,
-     0,
-     {OF_SERVICE(rejects, 0.55)}},
-    {"repeat",
-     3000,
-     5000,
-     begin_service,
-     end_service,
-     0,
-     {OF_SERVICE(repeats, 0.05)}},
+    {"kill", 300, 3000, &kill_ops, SIGKILL, {{0}}},
+    {"freeze", 500, 4500, &freeze_ops, SIGSTOP, {{0}}},
+    {"stop", 5900, 1, &stop_ops, SIGTERM, {{0}}},
+    {"hup", 100, 500, &signal_ops, SIGHUP, {{0}}},
+    {"kill-many", 500, 1500, &mass_kill_ops, SIGKILL, {{0}}},
+    {"instance-crash", 500, 3000, &crash_ops, 0, {{0}}},
+    {"instance-freeze", 500, 3000, &inst_freeze_ops, 0, {{0}}},
+    {"leave", 2500, 1000, &leave_ops, 0, {{0}}},
+    {"reject", 3000, 5000, &service_ops, 0, {OF_SERVICE(rejects, 0.55)}},
+    {"repeat", 3000, 5000, &service_ops, 0, {OF_SERVICE(repeats, 0.05)}},
     {"repeat-at-once",
      3000,
      5000,
-     begin_service,
-     end_service,
+     &service_ops,
      0,
      {OF_SERVICE(repeats_at_once, 0.05)}},
     {"late-rejections",
      3000,
      5000,
-     begin_service,
-     end_service,
+     &service_ops,
      0,
      {OF_SERVICE(rejects, 0.55), OF_SERVICE(repeats, 0.05)}},
     {"unnamed-rejections",
      3000,
      5000,
-     begin_service,
-     end_service,
+     &service_ops,
      0,
      {OF_SERVICE(rejects, 0.55), OF_SERVICE(repeats, 0.05),
       OF_SERVICE(unnamed, 1)}},
-    {"lose",
-     2000,
-     4000,
-     begin_service,
-     end_service,
-     0,
-     {OF_SERVICE(loses, 0.05)}},
-    {"spoil",
-     2000,
-     4000,
-     begin_service,
-     end_service,
-     0,
-     {OF_SERVICE(spoils, 0.05)}},
-    {"deny",
-     2000,
-     4000,
-     begin_service,
-     end_service,
-     0,
-     {OF_SERVICE(denies, 0.05)}},
-    {"give-up",
-     2000,
-     4000,
-     begin_mesh,
-     end_mesh,
-     0,
-     {OF_MESH(give_up, 0.2, 0)}},
-    {"abuse", 2000, 4000, begin_mesh, end_mesh, 0, {OF_MESH(abuse, 0.4, 0)}},
-    {"burst", 2000, 6000, begin_mesh, end_mesh, 0, {OF_MESH(burst, 1.8, 1)}},
-    {"config", 100, 1000, begin_config, end_nothing, 0, {{0}}},
-    {"store", 500, 4000, begin_store, end_store, 0, {{0}}}};
+    {"lose", 2000, 4000, &service_ops, 0, {OF_SERVICE(loses, 0.05)}},
+    {"spoil", 2000, 4000, &service_ops, 0, {OF_SERVICE(spoils, 0.05)}},
+    {"deny", 2000, 4000, &service_ops, 0, {OF_SERVICE(denies, 0.05)}},
+    {"give-up", 2000, 4000, &mesh_ops, 0, {OF_MESH(give_up, 0.2, 0)}},
+    {"abuse", 2000, 4000, &mesh_ops, 0, {OF_MESH(abuse, 0.4, 0)}},
+    {"burst", 2000, 6000, &mesh_ops, 0, {OF_MESH(burst, 1.8, 1)}},
+    {"config", 100, 1000, &config_ops, 0, {{0}}},
+    {"store", 500, 4000, &store_ops, 0, {{0}}},
+    {"link-hold-in", 300, 6000, &hold_ops, 0, {{0}}},
+    {"link-hold-out", 300, 6000, &hold_ops, 0, {{0}}},
+    {"link-hold", 300, 6000, &hold_ops, 0, {{0}}},
+    {"link-delay", 1000, 5000, &delay_ops, 0, {{0}}},
+    {"link-reset", 100, 1000, &break_ops, 0, {{0}}},
+    {"link-silent", 1000, 4000, &break_ops, 0, {{0}}}};
 
 static const Fault *
 fault_named(const char *name)
@@ -399,7 +420,7 @@
 
     memset(j, 0, sizeof *j);
     j->until = now + (100 + mesh_draw(m, 1500)) * SP_MS;
-    if (!f || !f->begin(m, j, f)) {
+    if (!f || !f->ops->begin(m, j, f)) {
         return;
     }
     j->fault = f;
@@ -415,7 +436,7 @@
 {
     int64_t until = j->until;
 
-    j->fault->end(m, j);
+    j->fault->ops->end(m, j);
     if (j->until != until) {
         return; /* it needs more time */
     }
--- a/standin/meshplan.c
+++ b/standin/meshplan.c
@@ -203,8 +203,7 @@
         {"heartbeat_s", "1.5"},        {"bounds.drain_s", "2"},
         {"bounds.grace_s", "6"},       {"bounds.retry_budget_ratio", "0.2"},
         {"bounds.budget_slack", "49"}, {"bounds.budget_window_s", "10"},
-        {"limits.memory_mb", "260"},   {"bootstrap", "true"},
-        {"internal_ports.0", "7620"}};
+        {"limits.memory_mb", "260"},   {"bootstrap", "true"}};
     static const struct {
         const char *field;
         int port;
@@ -225,7 +224,10 @@
             g_string_append_printf(s, "\"%s:%d\"", n->ip, ports[i].port);
         }
     }
-    if (strcmp(field, "ip") == 0) {
+    if (strcmp(field, "internal_ports.0") == 0) {
+        g_string_append_printf(s, "%d", MESH_LINK_PORT);
+    }
+    else if (strcmp(field, "ip") == 0) {
         g_string_append(s, n->ip);
     }
     else if (strcmp(field, "node") == 0) {
--- a/standin/meshproc.c
+++ b/standin/meshproc.c
@@ -9,6 +9,7 @@
 spawn(Mesh *m, uv_process_t *proc, const char *name, char **args,
       uv_exit_cb on_exit)
 {
+    char **env = g_get_environ();
     char *file = g_strdup_printf("%s/%s.log", m->o.dir, name);
     int fd = open(file, O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0644), e;
     uv_stdio_container_t io[3];
@@ -18,6 +19,10 @@
     io[0].flags = UV_IGNORE;
     io[1].flags = io[2].flags = UV_INHERIT_FD;
     io[1].data.fd = io[2].data.fd = fd;
+    if (m->o.redirect) {
+        env = g_environ_setenv(env, "LD_PRELOAD", m->o.redirect, 1);
+    }
+    o.env = env;
     o.file = args[0];
     o.args = args;
     o.stdio = io;
@@ -26,6 +31,7 @@
     e = uv_spawn(m->loop, proc, &o);
     close(fd);
     g_free(file);
+    g_strfreev(env);
     if (e != 0) {
         fprintf(stderr, "spmesh: cannot start %s: %s\n", args[0],
                 uv_strerror(e));
@@ -74,7 +80,8 @@
         fprintf(stderr, "spmesh: %s\n", err->message);
         return 0;
     }
-    n->ends = 0;
+    n->ends = n->frozen = 0;
+    n->signaled_at = SpHttp_Now();
     n->running = spawn(n->m, &n->proc, n->name, args, on_relay_exit);
     n->proc.data = n;
     g_free(file);
@@ -87,6 +94,8 @@
     if (!n->running) {
         return;
     }
+    n->signaled_at = SpHttp_Now();
+    n->frozen = signum == SIGSTOP;
     n->ends |= signum == SIGKILL || signum == SIGTERM;
     uv_process_kill(&n->proc, signum);
 }
--- a/standin/meshrecord.c
+++ b/standin/meshrecord.c
@@ -1,7 +1,8 @@
 /*
  * Record of spmesh: what callers got and what instances ran. A request that is
  * not idempotent may run once for each attempt id, and not at all if its
- * answer promises that it has not run.
+ * answer promises that it has not run. Each request is answered by its
+ * deadline.
  */
 #include <stdarg.h>
 #include <string.h>
@@ -12,7 +13,7 @@
 
 typedef struct Entry {
     const MeshRoute *route;
-    int runs, status, answered, foreign;
+    int runs, status, answered, foreign, held;
     GString *story; /* of a request that is not idempotent */
 } Entry;
 
@@ -167,6 +168,16 @@
     }
 }
 
+void
+record_held(Mesh *m, const char *id)
+{
+    Entry *e = entry_of(m, id);
+
+    if (e) {
+        e->held = 1;
+    }
+}
+
 static int
 is_promise(int status)
 {
@@ -202,10 +213,17 @@
     return e->foreign;
 }
 
+static int
+was_held(const Entry *e)
+{
+    return e->held;
+}
+
 static const Rule rules[] = {{"TWICE", ran_twice},
                              {"REFUSED", ran_though_refused},
                              {"NOT-RUN", served_without_run},
-                             {"FOREIGN", has_foreign_answer}};
+                             {"FOREIGN", has_foreign_answer},
+                             {"HELD", was_held}};
 
 static int
 check_rule(const Record *b, const Rule *rule)
--- a/standin/spmesh.c
+++ b/standin/spmesh.c
@@ -23,7 +23,9 @@
     "kill,freeze,stop,kill-many,instance-crash,instance-freeze,leave,reject,"
     "reject,"
     "repeat,late-rejections,unnamed-rejections,repeat-at-once,lose,spoil,deny,"
-    "give-up,abuse,burst,hup,config,store";
+    "give-up,abuse,burst,hup,config,store,link-hold-in,link-hold-out,link-"
+    "hold,"
+    "link-delay,link-reset,link-silent";
 
 static Mesh mesh;
 static uv_timer_t timer;
@@ -82,6 +84,7 @@
     }
     tick_instances(&mesh, now);
     tick_callers(&mesh, now);
+    tick_links(&mesh, now);
     if (mesh.started) {
         tick_faults(&mesh, now);
     }
@@ -119,8 +122,10 @@
     fprintf(stderr,
             "usage: spmesh -r SPRELAY -p PLAN -t TEMPLATE -S SPSTORE -d DIR\n"
             "  [-s SEED] [-n SECONDS] [-l LOAD] [-z SIZE] [-j INJECTORS]\n"
-            "  [-f FAULT,...] [-w WARM_UP_SECONDS]\n"
+            "  [-f FAULT,...] [-w WARM_UP_SECONDS] [-P SPREDIRECT]\n"
             "  -l, -z: factors on the rates and the instances of the plan\n"
+            "  -P: library that leads the links through proxies; without it "
+            "no fault of links\n"
             "  -f: default %s\n",
             all_faults);
     return 2;
@@ -131,7 +136,7 @@
 {
     int c;
 
-    while ((c = getopt(argc, argv, "r:p:t:S:d:s:n:l:z:j:f:w:")) != -1) {
+    while ((c = getopt(argc, argv, "r:p:t:S:d:s:n:l:z:j:f:w:P:")) != -1) {
         switch (c) {
         case 'r':
             o->relay = optarg;
@@ -166,6 +171,13 @@
         case 'w':
             o->warm_up_s = strtod(optarg, NULL);
             break;
+        case 'P':
+            o->redirect = realpath(optarg, NULL);
+            if (!o->redirect) {
+                perror(optarg);
+                return 0;
+            }
+            break;
         case 'f':
             o->faults = optarg;
             break;
@@ -211,6 +223,7 @@
     catch_signals();
     mesh.rand = mesh.o.seed * UINT64_C(0x9e3779b97f4a7c15) + 1;
     mesh.nodes = g_ptr_array_new();
+    mesh.links = g_ptr_array_new();
     mesh.record = new_record();
     mesh.burst = 1;
     g_snprintf(mesh.net, sizeof mesh.net, "127.%d", 10 + getpid() % 240);
@@ -222,7 +235,8 @@
         return 2;
     }
     for (i = 0; i < mesh.nodes->len; i++) {
-        if (!start_relay(g_ptr_array_index(mesh.nodes, i))) {
+        Node *n = g_ptr_array_index(mesh.nodes, i);
+        if ((mesh.o.redirect && !listen_for_links(n)) || !start_relay(n)) {
             end_all(&mesh);
             return 2;
         }
--- a/test/mesh.t
+++ b/test/mesh.t
@@ -1,13 +1,24 @@
-# A short run of spmesh: the valve configurator's relays as real processes, its
-# callers and instances played, faults drawn from the seed. Each broken rule
-# prints a line.
-for seed in 2; do
+# Short runs of spmesh: the valve configurator's relays as real processes, its
+# callers and instances played, faults drawn from the seed, in the second run
+# those of the links between relays too. Each broken rule prints a line.
+export ASAN_OPTIONS=verify_asan_link_order=0 # with a library that is preloaded
+LINKS=link-hold-in,link-hold-out,link-hold,link-delay,link-reset,link-silent
+
+play() { # SEED [OPTIONS]
+    local seed=$1
+    shift
     mkdir "$TMP/$seed"
     "$OUT/spmesh" -r "$OUT/sprelay" -S "$OUT/spstore" -p test/mesh/bfcg-mesh.mesh \
-        -t platform/settings.json.tmpl -d "$TMP/$seed" -s $seed -n 20 -l 0.3 \
-        -w 4 -j 4 >"$TMP/$seed.log" 2>&1
-    status=$?
-    grep -E '^(TWICE|REFUSED|NOT-RUN|FOREIGN) |UNASKED|ended by itself|spmesh:' "$TMP/$seed.log"
+        -t platform/settings.json.tmpl -d "$TMP/$seed" -s "$seed" -n 20 -l 0.3 \
+        -w 4 -j 4 "$@" >"$TMP/$seed.log" 2>&1
+    echo $? >"$TMP/$seed.status"
+}
+
+play 2 &
+play 3 -P "$OUT/spredirect.so" -f $LINKS,$LINKS,kill,freeze,stop,late-rejections,config &
+wait
+for seed in 2 3; do
+    grep -E '^(TWICE|REFUSED|NOT-RUN|FOREIGN|HELD) |UNASKED|ended by itself|spmesh:' "$TMP/$seed.log"
     tail -1 "$TMP/$seed.log" >&2
-    echo "seed $seed: status $status"
+    echo "seed $seed: status $(cat "$TMP/$seed.status")"
 done
