Relay: files of the store and of runs, each with one job

Functions are moved, four names changed since they are seen by more files; no logic changed. Beside it: a mutant of the idle limit of connections to the instance, and the places of the mutants in the moved code.

--- a/relay/relay.h
+++ b/relay/relay.h
@@ -5,7 +5,8 @@
  *   entry.c     requests of callers: routing, admission, answers
  *   attempt.c   their attempts: choice of an instance, sending, retries
  *               (call.h: what both share)
- *   instance.c  the local instance: queue, runs
+ *   instance.c  the local instance: its state, the queue and end of its jobs
+ *   run.c       their runs
  *   reports.c   its reports
  *   check.c     status checks of the local instance
  *   link.c      connections to the other relays (link.h: shared definitions)
@@ -14,7 +15,9 @@
  *   state.c     exchange of state and configuration between relays
  *   remote.c    calls between relays
  *   frame.c     encoding of the messages on those connections
- *   store.c     configuration and list of nodes in the platform's store
+ *   store.c     calls to the platform's store (store.h: shared definitions)
+ *   register.c  registration of this node there, and the list of the others
+ *   follow.c    the configuration there
  *   metrics.c   counters and histograms
  *   monitor.c   HTTP endpoint for metrics
  *   settings.c  settings
@@ -225,6 +228,8 @@
 
 /* instance.c */
 Job *start_job(Relay *n, const JobOpts *o);
+/* end_job reports the result to the owner, and frees the job. */
+void end_job(Job *j, const Result *r);
 /* drop_job cancels a job without calling done. A run in progress that is not
    idempotent continues to its end. */
 void drop_job(Job *j);
@@ -240,6 +245,9 @@
 /* path_shares returns the shares admitted on a route, here and downstream. */
 SpShares path_shares(const Relay *n, int64_t now, const char *route);
 
+/* run.c: sends the job to the instance; its answer ends the job. */
+void run_job(Job *j);
+
 /* check.c */
 void tick_check(Relay *n, int64_t now);
 
@@ -290,7 +298,7 @@
 /* monitor.c */
 int listen_metrics(Relay *n, GError **err);
 
-/* store.c */
+/* store.c, follow.c */
 int open_store(Relay *n, GError **err);
 void tick_store(Relay *n, int64_t now);
 /* follows_store: 1 while this node itself reads the configuration, or is about
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -81,11 +81,11 @@
 programs() {
     program_mutant rejection-forgotten late-refusal http/pool.c \
         's/r->key == key && r->until >= now/r->key == key \&\& r->until < 0/' &
-    program_mutant refusal-passed-on refused-though-run relay/instance.c \
+    program_mutant refusal-passed-on refused-though-run relay/run.c \
         's/return reply->refuses \? SP_BROKEN : SP_OK;/return SP_OK;/'
-    program_mutant rejection-unnamed late-refusal relay/instance.c \
+    program_mutant rejection-unnamed late-refusal relay/run.c \
         's/ && r.not_run && first\)/ \&\& r.not_run)/' &
-    program_mutant end-of-last-page config-log relay/store.c \
+    program_mutant end-of-last-page config-log relay/follow.c \
         's/t->step == STEP_FOLLOW \|\| !t->after\[0\]/1/' &
     wait
     program_mutant time-beyond-stop stop relay/attempt.c \
@@ -105,8 +105,10 @@
     wait
     program_mutant own-pause pause relay/sprelay.c \
         's/STALL_US \(300/STALL_US (300000/' &
-    program_mutant reads-together store-silent relay/store.c \
+    program_mutant reads-together store-silent relay/store.h \
         's/READ_SLACK_US \(600/READ_SLACK_US (2600/' &
+    program_mutant idle-kept instance-silent relay/sprelay.c \
+        's/INSTANCE_IDLE_US \(2/INSTANCE_IDLE_US (8/' &
     wait
 }
 
