Relay: large messages from other relays count while they arrive

Callers saw: nothing yet; found by a test. Twelve bodies of 30 MB from twelve relays took the relay beside the instance past its bound, where the platform kills it, with all other requests on it. Cause: each link kept a part of its message in a buffer that counted nowhere; links were held back by the memory of complete bodies only. Change: a message over 256 KB reserves its whole length out of an eighth of memory_mb; without room its link is not read. What has begun can end, so links do not wait for each other. New metrics sp_link_memory_bytes and its limit.

--- a/relay/frame.c
+++ b/relay/frame.c
@@ -211,6 +211,24 @@
     return ok;
 }
 
+/* Returns the length at p, without its own bytes. */
+static guint32
+read_length(const guint8 *p)
+{
+    guint32 n;
+
+    memcpy(&n, p, LENGTH_BYTES);
+    return g_ntohl(n);
+}
+
+size_t
+incomplete_frame(const GByteArray *in)
+{
+    return in->len < LENGTH_BYTES
+               ? 0
+               : LENGTH_BYTES + (size_t)read_length(in->data);
+}
+
 int
 read_frames(GByteArray *in,
             int (*handle)(void *ctx, FrameType type, FrameIn *f), void *ctx)
@@ -220,8 +238,7 @@
     int ok = 1;
 
     while (ok && in->len - at >= LENGTH_BYTES) {
-        memcpy(&n, in->data + at, LENGTH_BYTES);
-        n = g_ntohl(n);
+        n = read_length(in->data + at);
         if (n > SP_FRAME_BYTES) {
             ok = 0;
             break;
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -78,6 +78,10 @@
 /* get_array returns the elements and stores their number in n. */
 const msgpack_object *get_array(FrameIn *f, uint32_t *n);
 
+/* incomplete_frame returns the size of the frame of which in holds a part, in
+   bytes with its length; 0 if that has not been received. */
+size_t incomplete_frame(const GByteArray *in);
+
 /*
  * read_frames removes the complete frames at the start of in and calls handle
  * for each. Returns 0 if one is malformed or handle returned 0.
--- a/relay/link.c
+++ b/relay/link.c
@@ -10,7 +10,8 @@
 /* Maximum delay between attempts to connect. */
 #define BACKOFF_MAX_US (2 * SP_SEC)
 #define BACKLOG 512
-/* A receive buffer that has grown beyond this is freed when it is empty. */
+/* A receive buffer that has grown beyond this is freed when it is empty, and a
+   message beyond it counts against link_memory until it is complete. */
 #define KEPT_BYTES ((guint)256 << 10)
 
 static int handle_frame(void *ctx, FrameType type, FrameIn *f);
@@ -79,11 +80,41 @@
     f->count = &conn->n->links->sent[type];
 }
 
+static void
+release_reserved(LinkConn *conn)
+{
+    SpBodyMemory_Release(&conn->n->link_memory, conn->reserved);
+    conn->reserved = 0;
+}
+
+/* Reserves memory for the whole message that has begun to arrive, so that the
+   messages that have it are completed and give it back. Returns 0 if there is
+   none now. One that is larger than the limit is received alone. */
+static int
+reserve_for_message(LinkConn *conn)
+{
+    SpBodyMemory *m = &conn->n->link_memory;
+    size_t n = incomplete_frame(conn->in);
+
+    if (conn->reserved == n || n <= KEPT_BYTES) {
+        return 1;
+    }
+    if (!SpBodyMemory_Take(m, n)) {
+        if (m->used) {
+            return 0;
+        }
+        m->used = n;
+    }
+    conn->reserved = n;
+    return 1;
+}
+
 /* Closes the socket and drops the jobs of its calls. */
 static void
 end_conn(LinkConn *conn)
 {
     conn->closing = 1;
+    release_reserved(conn);
     g_ptr_array_remove_fast(conn->n->links->conns, conn);
     /* reset, so that data still in flight is discarded and not delivered after
        the calls have ended */
@@ -157,12 +188,18 @@
 
 static void on_conn_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf);
 
+static int
+has_room(LinkConn *conn)
+{
+    return !is_memory_short(conn->n) && reserve_for_message(conn);
+}
+
 /* While a link is held, nothing can be heard on it. */
 static void
 resume_reading(LinkConn *conn, int64_t now)
 {
     conn->received_at = now;
-    if (!is_memory_short(conn->n)) {
+    if (has_room(conn)) {
         conn->held = 0;
         uv_read_start((uv_stream_t *)&conn->tcp, SpHttp_Alloc, on_conn_read);
     }
@@ -206,7 +243,13 @@
         return;
     }
     shrink_received(conn);
-    if (!conn->closing && !conn->peer && is_memory_short(conn->n)) {
+    if (conn->closing || conn->peer) {
+        return;
+    }
+    if (incomplete_frame(conn->in) != conn->reserved) {
+        release_reserved(conn); /* that message is complete */
+    }
+    if (!has_room(conn)) {
         conn->held = 1;
         uv_read_stop(st);
     }
--- a/relay/link.h
+++ b/relay/link.h
@@ -37,6 +37,7 @@
     Peer *peer; /* NULL if the other side opened the connection */
     GByteArray *in, *out;
     guint in_peak;    /* greatest length of in since it was made */
+    size_t reserved;  /* bytes of link_memory for the message in in */
     int held;         /* 1: it is not read, since memory for bodies is short */
     GHashTable *jobs; /* on the serving side: seq to Job */
     int connected, closing;
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -29,6 +29,8 @@
     put(s, "body_memory_limit_bytes", (double)n->body_memory.limit);
     put(s, "job_memory_bytes", (double)n->job_memory.used);
     put(s, "job_memory_limit_bytes", (double)n->job_memory.limit);
+    put(s, "link_memory_bytes", (double)n->link_memory.used);
+    put(s, "link_memory_limit_bytes", (double)n->link_memory.limit);
     put(s, "log_lines_lost_total", (double)SpLog_Dropped());
     for (i = 0; i < SP_MAX_RANKS; i++) {
         g_string_append_printf(s, "sp_admitted_share{rank=\"%s\"} %.3f\n",
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -174,6 +174,7 @@
     SpHttpServer *http;
     SpBodyMemory body_memory; /* of http and pool */
     SpBodyMemory job_memory;  /* of bodies copied for jobs */
+    SpBodyMemory link_memory; /* of large messages that links are receiving */
     SpPool *pool;             /* connections to the local instance */
     SpExchange *check;        /* status check in progress */
     int64_t check_at; /* time-out of that check, or time of the next one */
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -328,6 +328,7 @@
     SpAdmission_Init(&n->admission);
     n->body_memory.limit = (size_t)(n->settings.memory_mb * MB) / BODY_SHARE;
     n->job_memory.limit = n->body_memory.limit;
+    n->link_memory.limit = n->body_memory.limit / 2;
     n->http = SpHttpServer_New(n->loop, &limits, &n->body_memory);
     g_strlcpy(po.addr, n->settings.instance, sizeof po.addr);
     n->pool = SpPool_New(n->loop, &po);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -107,6 +107,8 @@
         's/STALL_US \(300/STALL_US (300000/' &
     program_mutant reads-together store-silent relay/store.h \
         's/READ_SLACK_US \(600/READ_SLACK_US (2600/' &
+    program_mutant parts-not-counted upload relay/link.c \
+        's/is_memory_short\(conn->n\) && reserve.*;/is_memory_short(conn->n) || reserve_for_message(conn);/' &
     program_mutant idle-kept instance-silent relay/sprelay.c \
         's/INSTANCE_IDLE_US \(2/INSTANCE_IDLE_US (8/' &
     wait
