--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 SRC = $(wildcard */*.c)
 HDR = $(wildcard */*.h)
 
-all: $(PROGS) $(OUT)/spredirect.so
+all: $(PROGS)
 
 $(OUT)/%.o: %.c
 	@mkdir -p $(@D)
@@ -69,18 +69,18 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ -lpthread $(RELAYLIBS)
 
-$(OUT)/spredirect.so: standin/spredirect.c standin/meshport.h
+$(OUT)/redirect.so: test/redirect.c standin/meshport.h
 	@mkdir -p $(@D)
 	@echo ld $@
 	@$(CC) $(CPPFLAGS) $(CFLAGS) -fPIC -shared -o $@ $< -ldl
 
-$(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(filter-out test/fuzz%,\
-		$(wildcard test/*.c))) $(PLATOBJ) $(OUT)/relay/frame.o \
+$(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(filter-out test/fuzz% \
+		test/redirect.c,$(wildcard test/*.c))) $(PLATOBJ) $(OUT)/relay/frame.o \
 		$(OUT)/libsp.a
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ -lcunit -lhttp_parser $(LIBS)
 
-test: all $(OUT)/sptest
+test: all $(OUT)/sptest $(OUT)/redirect.so
 	@test/run.sh $(OUT)
 
 # Ten thousand random fault schedules. `make mutants` checks that the schedules
--- a/standin/mesh.h
+++ b/standin/mesh.h
@@ -79,7 +79,7 @@
 
 typedef struct MeshOpts {
     const char *relay, *store, *plan, *template, *dir;
-    const char *redirect; /* spredirect.so; NULL: no proxies */
+    int proxies; /* 1: links between relays lead through proxies */
     uint64_t seed;
     double seconds, load; /* load: factor on the rates of the plan */
     double size;          /* factor on the numbers of instances */
--- a/standin/meshfault.c
+++ b/standin/meshfault.c
@@ -273,7 +273,7 @@
 static int
 begin_hold(Mesh *m, Injector *j, const Fault *f)
 {
-    if (!m->o.redirect || !take_node(m, j)) {
+    if (!m->o.proxies || !take_node(m, j)) {
         return 0;
     }
     j->node->net.holds_in = strcmp(f->name, "link-hold-out") != 0;
@@ -285,7 +285,7 @@
 begin_delay(Mesh *m, Injector *j, const Fault *f)
 {
     (void)f;
-    if (!m->o.redirect || !take_node(m, j)) {
+    if (!m->o.proxies || !take_node(m, j)) {
         return 0;
     }
     j->node->net.delay_us = (20 + mesh_draw(m, 400)) * SP_MS;
@@ -295,7 +295,7 @@
 static int
 begin_break(Mesh *m, Injector *j, const Fault *f)
 {
-    if (!m->o.redirect || !take_node(m, j)) {
+    if (!m->o.proxies || !take_node(m, j)) {
         return 0;
     }
     break_links(j->node, 0.5, strcmp(f->name, "link-silent") == 0);
--- a/standin/meshproc.c
+++ b/standin/meshproc.c
@@ -9,7 +9,6 @@
 spawn(Mesh *m, uv_process_t *proc, const char *name, char **args,
       uv_exit_cb on_exit)
 {
-    char **env = g_get_environ();
     char *file = g_strdup_printf("%s/%s.log", m->o.dir, name);
     int fd = open(file, O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0644), e;
     uv_stdio_container_t io[3];
@@ -19,10 +18,6 @@
     io[0].flags = UV_IGNORE;
     io[1].flags = io[2].flags = UV_INHERIT_FD;
     io[1].data.fd = io[2].data.fd = fd;
-    if (m->o.redirect) {
-        env = g_environ_setenv(env, "LD_PRELOAD", m->o.redirect, 1);
-    }
-    o.env = env;
     o.file = args[0];
     o.args = args;
     o.stdio = io;
@@ -31,7 +26,6 @@
     e = uv_spawn(m->loop, proc, &o);
     close(fd);
     g_free(file);
-    g_strfreev(env);
     if (e != 0) {
         fprintf(stderr, "spmesh: cannot start %s: %s\n", args[0],
                 uv_strerror(e));
--- a/standin/spmesh.c
+++ b/standin/spmesh.c
@@ -122,10 +122,10 @@
     fprintf(stderr,
             "usage: spmesh -r SPRELAY -p PLAN -t TEMPLATE -S SPSTORE -d DIR\n"
             "  [-s SEED] [-n SECONDS] [-l LOAD] [-z SIZE] [-j INJECTORS]\n"
-            "  [-f FAULT,...] [-w WARM_UP_SECONDS] [-P SPREDIRECT]\n"
+            "  [-f FAULT,...] [-w WARM_UP_SECONDS] [-P]\n"
             "  -l, -z: factors on the rates and the instances of the plan\n"
-            "  -P: library that leads the links through proxies; without it "
-            "no fault of links\n"
+            "  -P: links lead through proxies (test/redirected.sh); without "
+            "it no fault of links\n"
             "  -f: default %s\n",
             all_faults);
     return 2;
@@ -136,7 +136,7 @@
 {
     int c;
 
-    while ((c = getopt(argc, argv, "r:p:t:S:d:s:n:l:z:j:f:w:P:")) != -1) {
+    while ((c = getopt(argc, argv, "r:p:t:S:d:s:n:l:z:j:f:w:P")) != -1) {
         switch (c) {
         case 'r':
             o->relay = optarg;
@@ -172,11 +172,7 @@
             o->warm_up_s = strtod(optarg, NULL);
             break;
         case 'P':
-            o->redirect = realpath(optarg, NULL);
-            if (!o->redirect) {
-                perror(optarg);
-                return 0;
-            }
+            o->proxies = 1;
             break;
         case 'f':
             o->faults = optarg;
@@ -236,7 +232,7 @@
     }
     for (i = 0; i < mesh.nodes->len; i++) {
         Node *n = g_ptr_array_index(mesh.nodes, i);
-        if ((mesh.o.redirect && !listen_for_links(n)) || !start_relay(n)) {
+        if ((mesh.o.proxies && !listen_for_links(n)) || !start_relay(n)) {
             end_all(&mesh);
             return 2;
         }
--- a/standin/spredirect.c
+++ b/test/redirect.c
@@ -1,7 +1,6 @@
 /*
- * spredirect.so, to be loaded into relays by LD_PRELOAD: connections to the
- * port MESH_LINK_PORT go to MESH_PROXY_PORT of the same address, where spmesh
- * passes them on.
+ * Loaded into relays by test/redirected.sh: connections to MESH_LINK_PORT go
+ * to MESH_PROXY_PORT of the same address, where spmesh passes them on.
  */
 #include <dlfcn.h>
 #include <netinet/in.h>
