--- a/test/late-refusal.t
+++ b/test/late-refusal.t
@@ -30,3 +30,6 @@
     "${#report}" "$report" | raw "$ip:7403" >/dev/null
 sleep 0.5
 echo "$(code front-1 c1 POST /checked/slow-100), runs $(runs c1)"
+
+echo "counted: $(metric back-1 sp_runs_rejected_total) rejections"
+[ "$(metric back-1 sp_replies_discarded_total)" -gt 0 ] && echo "and late copies of them"
--- a/test/refused-though-run.t
+++ b/test/refused-though-run.t
@@ -18,3 +18,5 @@
 echo "the caller got $(code front-1 s503 GET /safe/unstated-503), runs $(runs s503)"
 echo "with a statement:"
 echo "the caller got $(code front-1 r1 POST /once/refuse), runs $(runs r1)"
+both() { echo $(($(metric back-1 "$1") + $(metric back-2 "$1"))); }
+echo "counted: $(both sp_refusals_unstated_total) without a statement, $(both sp_runs_rejected_total) with one"
