--- a/standin/meshfault.c
+++ b/standin/meshfault.c
@@ -93,6 +93,8 @@
 end_stop(Mesh *m, Injector *j)
 {
     if (j->node->running) { /* the grace time is over */
+        record_note(m, "still there at the end of the grace time: %s",
+                    j->node->name);
         signal_relay(j->node, SIGKILL);
         j->until = SpHttp_Now() + KILL_US;
         return;
