spmesh: the share of requests that a rejecting service rejects is an option

With late copies of rejections without an id, this share decides whether a broken rule shows as TWICE or as REFUSED.

--- a/standin/mesh.h
+++ b/standin/mesh.h
@@ -84,6 +84,7 @@
     double seconds, load; /* load: factor on the rates of the plan */
     double size;          /* factor on the numbers of instances */
     const char *faults;   /* names, separated by commas */
+    double rejects; /* part of the requests that a rejecting service rejects */
     int injectors;
     double warm_up_s; /* from the start of the relays to that of the callers */
 } MeshOpts;
--- a/standin/meshfault.c
+++ b/standin/meshfault.c
@@ -200,6 +200,9 @@
 {
     j->service = &m->services[mesh_draw(m, m->nservices)];
     set_fields(j->service, f, 1);
+    if (j->service->rejects > 0) {
+        j->service->rejects = m->o.rejects;
+    }
     return 1;
 }
 
--- a/standin/spmesh.c
+++ b/standin/spmesh.c
@@ -123,6 +123,7 @@
             "usage: spmesh -r SPRELAY -p PLAN -t TEMPLATE -S SPSTORE -d DIR\n"
             "  [-s SEED] [-n SECONDS] [-l LOAD] [-z SIZE] [-j INJECTORS]\n"
             "  [-f FAULT,...] [-w WARM_UP_SECONDS] [-P]\n"
+            "  [-R REJECTED_SHARE]\n"
             "  -l, -z: factors on the rates and the instances of the plan\n"
             "  -P: links lead through proxies (test/redirected.sh); without "
             "it no fault of links\n"
@@ -136,7 +137,7 @@
 {
     int c;
 
-    while ((c = getopt(argc, argv, "r:p:t:S:d:s:n:l:z:j:f:w:P")) != -1) {
+    while ((c = getopt(argc, argv, "r:p:t:S:d:s:n:l:z:j:f:w:PR:")) != -1) {
         switch (c) {
         case 'r':
             o->relay = optarg;
@@ -168,6 +169,9 @@
         case 'j':
             o->injectors = (int)strtol(optarg, NULL, 10);
             break;
+        case 'R':
+            o->rejects = strtod(optarg, NULL);
+            break;
         case 'w':
             o->warm_up_s = strtod(optarg, NULL);
             break;
@@ -208,6 +212,7 @@
                         .load = 1,
                         .size = 1,
                         .faults = all_faults,
+                        .rejects = 0.55,
                         .injectors = 3,
                         .warm_up_s = 8};
     if (!read_options(argc, argv, &mesh.o)) {
