--- a/standin/meshlink.c
+++ b/standin/meshlink.c
@@ -87,7 +87,7 @@
     const MeshNet *net = &l->n->net;
 
     return !l->connected ||
-           (w == &l->ways[TO_NODE] ? net->holds_in : net->holds_out);
+           (w == &l->ways[TO_NODE] ? net->holds_in : net->holds_out) > 0;
 }
 
 /* Sends what is due; closes the link at the end of a stream. */
@@ -147,7 +147,7 @@
         return;
     }
     c = g_malloc(sizeof *c + len);
-    c->due = now + w->link->n->net.delay_us;
+    c->due = now + (int64_t)(w->link->n->net.delay_s * SP_SEC);
     c->len = len;
     memcpy(c->bytes, buf->base, len);
     g_queue_push_tail(&w->chunks, c);
