spload: settings, calls and report in files of their own

standin/spload.c (766 lines) becomes spload.c (159), loadset.c (118), loadcall.c (196) and loadreport.c (211) with load.h. Functions are moved; no logic changed.

--- a/Makefile
+++ b/Makefile
@@ -57,10 +57,11 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(OUT)/spload: $(patsubst %.c,$(OUT)/%.o,$(wildcard standin/load*.c))
 $(OUT)/splog $(OUT)/spup $(OUT)/spload: $(OUT)/%: $(OUT)/standin/%.o \
 		$(OUT)/libspweb.a $(OUT)/libsp.a
 	@echo ld $@
-	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
 
 $(OUT)/spinst: $(OUT)/standin/answers.o $(OUT)/standin/instnet.o
 $(OUT)/spmesh: $(patsubst %.c,$(OUT)/%.o,$(wildcard standin/mesh*.c))
