Relay: keys of workspaces

Cause: the code had no notion of a workspace.

Change: flow/workspaces.c keeps workspaces and keys of a configuration; the node at which a request enters looks up the key, answers 401 to an unknown one, takes it off and names the workspace to the instance. Calls of a running request need none. Routes of kind download are idempotent. The rank of a workspace goes before that of its route.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -9,6 +9,7 @@
 #define SP_FLOW_H
 
 #include "base/base.h"
+#include "flow/workspaces.h"
 
 #define SP_FLOW_NAME 64
 /* Priority ranks: 0 is the most important. Higher numbers count as the last
@@ -33,8 +34,9 @@
     SpSplitTarget *parts;
     int nparts;
     int idempotent;
-    int attempts; /* instances that may receive one request */
-    int rank;     /* 0 is shed last */
+    int is_public; /* 1: needs no key of a workspace */
+    int attempts;  /* instances that may receive one request */
+    int rank;      /* 0 is shed last */
     int64_t timeout_us;
     int64_t aim_us; /* target latency; 0: none */
 } SpPathRoute;
@@ -60,9 +62,10 @@
     SpRouteLimits limits;
     SpArena *arena; /* of the routes */
     guint nroutes;
-    GHashTable *hosts;    /* name to a table of prefix to SpPathRoute */
-    GHashTable *services; /* name to SpServiceConf */
-    char *text;           /* the document as published */
+    GHashTable *hosts;        /* name to a table of prefix to SpPathRoute */
+    GHashTable *services;     /* name to SpServiceConf */
+    SpWorkspaces *workspaces; /* NULL: callers need no key */
+    char *text;               /* the document as published */
     size_t text_len;
     int refs;
 } SpRoutes;
--- a/flow/routes.c
+++ b/flow/routes.c
@@ -33,6 +33,7 @@
     }
     g_hash_table_destroy(rs->hosts);
     g_hash_table_destroy(rs->services);
+    SpWorkspaces_Free(rs->workspaces);
     SpArena_Free(rs->arena);
     g_free(rs->text);
     g_free(rs);
--- a/relay/adapter.h
+++ b/relay/adapter.h
@@ -18,11 +18,20 @@
 typedef struct SpRequestInfo {
     const char *id;   /* of this attempt; NULL if missing or invalid */
     const char *host; /* with or without a port; NULL if missing */
+    const char *key;  /* of the caller's workspace; NULL if missing */
     char parent[SP_ATTEMPT_ID_BYTES]; /* id of the attempt on behalf of which
                                 this call is made; empty if not given */
     int64_t left_us; /* time until the caller's deadline; 0 if not given */
 } SpRequestInfo;
 
+/* What a request to an instance says of its origin. */
+typedef struct SpOrigin {
+    const char *service;   /* of the node at which it entered */
+    const char *workspace; /* of its caller; NULL: none */
+    int has_workspaces;    /* 1: neither a key nor a workspace that the caller
+                              names is passed on */
+} SpOrigin;
+
 /* Fields of an instance's answer besides its status and body. */
 typedef struct SpReplyInfo {
     int has_id;     /* 1: it names the request that it answers */
@@ -70,11 +79,12 @@
     /* Requests. */
     void (*read_request)(const SpMsg *m, SpRequestInfo *a);
     /* Writes the request line and the headers for the instance, except those
-       of the last hop; service is that of the node at which the request
-       entered. */
-    void (*write_head)(GString *s, const SpMsg *m, const char *service);
+       of the last hop. */
+    void (*write_head)(GString *s, const SpMsg *m, const SpOrigin *o);
     /* Writes the headers of the last hop and the blank line. */
     void (*write_tail)(GString *s, int64_t left_us, const char *instance);
+    /* Header lines of the refusal of a request whose key is unknown. */
+    const char *key_challenge;
     void (*read_reply)(const SpMsg *m, const char *id, SpReplyInfo *r);
     /* Reports: returns 0 if the message identifies no usable instance. */
     int (*read_report)(const SpMsg *m, SpReport *r);
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -50,6 +50,7 @@
     Relay *n = c->n;
     JobOpts o = {.id = c->id,
                  .route = c->route->name,
+                 .workspace = c->workspace_name,
                  .share = c->share,
                  .rank = c->rank,
                  .nested = c->nested,
--- a/relay/call.h
+++ b/relay/call.h
@@ -20,6 +20,10 @@
     const char *service;
     int64_t arrived, deadline;
     int rank;
+    const SpWorkspace *workspace;      /* of the caller's key; NULL: none */
+    char workspace_name[SP_FLOW_NAME]; /* the same, or that of the request on
+                                          behalf of which a call is made; or
+                                          empty */
     double share; /* at which the original request was admitted */
     int nested;   /* 1: made on behalf of a running request */
     int is_retry; /* 1: that request is a retry, or caused by one */
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -164,6 +164,31 @@
     return 1;
 }
 
+/* Finds the workspace of the caller by its key. Calls of a running request
+   have none and belong to its workspace. */
+static int
+find_workspace(Call *c, const SpRequestInfo *a)
+{
+    const SpWorkspaces *ws = c->routes->workspaces;
+
+    if (!ws || c->nested) {
+        return 1;
+    }
+    c->workspace = a->key ? SpWorkspaces_FindKey(ws, a->key) : NULL;
+    if (!c->workspace && !c->route->is_public) {
+        answer_error(c, SP_UNAUTHORIZED, 401, c->n->adapter->key_challenge);
+        return 0;
+    }
+    if (c->workspace) {
+        g_strlcpy(c->workspace_name, c->workspace->name,
+                  sizeof c->workspace_name);
+        if (c->workspace->rank != SP_RANK_OF_ROUTE) {
+            c->rank = c->workspace->rank;
+        }
+    }
+    return 1;
+}
+
 /* Calls that the original request needs after this one succeeds: the rest of
    its parent's, as many as runs of that route usually make, and those after
    the parent. */
@@ -196,6 +221,7 @@
     c->rank = j->req.rank;
     c->deadline = MIN(c->deadline, j->req.deadline);
     c->share = j->share;
+    g_strlcpy(c->workspace_name, j->workspace, sizeof c->workspace_name);
     c->calls_left = calls_left_after(c, j);
     SpPaths_RecordCall(c->n->paths, c->arrived, j->route, c->route->name);
 }
@@ -229,6 +255,19 @@
     }
 }
 
+static void
+write_head(Call *c)
+{
+    SpOrigin o = {.service = c->n->settings.service,
+                  .has_workspaces = c->routes->workspaces != NULL};
+
+    if (c->workspace) {
+        o.workspace = c->workspace->name;
+    }
+    c->head = g_string_sized_new(512);
+    c->n->adapter->write_head(c->head, c->msg, &o);
+}
+
 static void
 on_call(void *ctx, SpHttpReq *req)
 {
@@ -255,6 +294,9 @@
         c->deadline = MIN(c->deadline, c->arrived + c->route->timeout_us);
     }
     inherit_parent(c, &a);
+    if (!find_workspace(c, &a)) {
+        return;
+    }
     count_attempt(c);
     if (!c->nested && !SpStop_AdmitsNew(&n->stop, c->arrived)) {
         refuse(c, SP_LEAVING);
@@ -264,8 +306,7 @@
         refuse(c, SP_SHED);
         return;
     }
-    c->head = g_string_sized_new(512);
-    n->adapter->write_head(c->head, c->msg, n->settings.service);
+    write_head(c);
     try_instances(c);
 }
 
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -17,8 +17,9 @@
     FRAME_STATE,  /* accepts, busy, limit, run time, demand by rank, capacity,
                      follows, version of the configuration */
     FRAME_ALIVE,  /* keep-alive: version of the configuration */
-    FRAME_CALL,   /* seq, id, service, route, share, rank, nested, is_retry,
-                     idempotent, calls left, time to the deadline, head, body */
+    FRAME_CALL,   /* seq, id, service, route, workspace, share, rank, nested,
+                     is_retry,   idempotent, calls left, time to the deadline,
+                     head, body */
     FRAME_ANSWER, /* seq, kind, outcome, reached, nested_failed, shares of the
                      path, calls, status, lines, body, busy, limit, run time */
     FRAME_CANCEL, /* seq */
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -165,6 +165,7 @@
     j->share = o->share;
     j->calls_left = o->calls_left;
     g_strlcpy(j->route, o->route, sizeof j->route);
+    g_strlcpy(j->workspace, o->workspace, sizeof j->workspace);
     j->head = o->head;
     j->done = o->done;
     j->owner = o->owner;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -96,6 +96,7 @@
     Relay *n;
     SpLimiterReq req;
     char route[SP_FLOW_NAME];
+    char workspace[SP_FLOW_NAME]; /* of the caller; empty: none */
     double share; /* at which the original request was admitted */
     SpExchange *x;
     char id[SP_ATTEMPT_ID_BYTES];
@@ -122,6 +123,7 @@
 
 typedef struct JobOpts {
     const char *route;
+    const char *workspace; /* of the caller; empty: none */
     double share;
     const char *id;
     int rank;
--- a/relay/remote.c
+++ b/relay/remote.c
@@ -65,6 +65,7 @@
 {
     JobOpts o = {.done = send_answer, .owner = conn, .copy_body = 1};
     char id[SP_ATTEMPT_ID_BYTES], service[SP_FLOW_NAME], route[SP_FLOW_NAME];
+    char workspace[SP_FLOW_NAME];
     const char *head;
     size_t head_len;
     uint64_t *key;
@@ -75,6 +76,7 @@
     get_str(f, id, sizeof id);
     get_str(f, service, sizeof service);
     get_str(f, route, sizeof route);
+    get_str(f, workspace, sizeof workspace);
     o.share = get_real(f);
     o.rank = (int)get_uint(f);
     o.nested = (int)get_uint(f);
@@ -90,6 +92,7 @@
     o.id = id;
     o.service = service;
     o.route = route;
+    o.workspace = workspace;
     o.head = g_string_new_len(head, (gssize)head_len);
     key = g_new(uint64_t, 1);
     *key = o.seq;
@@ -201,11 +204,12 @@
     *key = ++p->seq;
     g_hash_table_insert(p->calls, key, c);
     mark_used(conn, SpHttp_Now());
-    begin_link_frame(&f, conn, FRAME_CALL, 13);
+    begin_link_frame(&f, conn, FRAME_CALL, 14);
     put_uint(&f, *key);
     put_str(&f, o->id);
     put_str(&f, o->service);
     put_str(&f, o->route);
+    put_str(&f, o->workspace);
     put_real(&f, o->share);
     put_uint(&f, (uint64_t)o->rank);
     put_uint(&f, (uint64_t)o->nested);
--- a/standin/answers.c
+++ b/standin/answers.c
@@ -109,9 +109,11 @@
 print_run(const Request *r)
 {
     char *s = g_strdup_printf(
-        "run id=%s method=%s path=%s caller=%s body=%zu left=%s", r->id,
+        "run id=%s method=%s path=%s caller=%s body=%zu left=%s%s%s%s", r->id,
         r->method, r->path, r->caller, r->body,
-        r->left_ms > 0 ? "given" : "missing");
+        r->left_ms > 0 ? "given" : "missing",
+        r->workspace[0] ? " workspace=" : "", r->workspace,
+        r->has_key ? " key=passed-on" : "");
 
     print_line(s);
     g_free(s);
--- a/standin/inst.h
+++ b/standin/inst.h
@@ -32,6 +32,8 @@
 
 typedef struct Request {
     char method[16], path[512], id[256], caller[64], expect[64], run[32];
+    char workspace[64]; /* empty: not named */
+    int has_key;        /* 1: the caller's key was passed on */
     long left_ms;
     size_t body;
 } Request;
--- a/standin/instnet.c
+++ b/standin/instnet.c
@@ -61,6 +61,12 @@
     else if (strncasecmp(line, "siskinpond-caller-service:", 26) == 0) {
         g_strlcpy(r->caller, v, sizeof r->caller);
     }
+    else if (strncasecmp(line, "siskinpond-tenant:", 18) == 0) {
+        g_strlcpy(r->workspace, v, sizeof r->workspace);
+    }
+    else if (strncasecmp(line, "authorization:", 14) == 0) {
+        r->has_key = 1;
+    }
     else if (strncasecmp(line, "siskinpond-expected-instance:", 29) == 0) {
         g_strlcpy(r->expect, v, sizeof r->expect);
     }
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -90,11 +90,21 @@
     printf '["%s","h.example","%s","%s",%s,0.5,%s,"%s",2]' "$@"
 }
 
-publish() { # VERSION ROWS...
-    local version=$1 rows
+public_route() { # like route; its requests need no key
+    route "$@" | sed 's/]$/,true]/'
+}
+
+workspace() { # NAME KEYS RANK RATE BURST; KEYS is a JSON list, RANK may be null
+    printf '["%s",%s,%s,%s,%s]' "$@"
+}
+
+publish() { # VERSION ROWS...; WORKSPACES: their rows, separated by commas
+    local version=$1 rows keyed=""
+    [ -z "${WORKSPACES:-}" ] ||
+        keyed=",\"tenants\":{\"columns\":[\"name\",\"api_keys\",\"priority\",\"rate_per_s\",\"burst\"],\"rows\":[$WORKSPACES]}"
     shift
     rows=$(IFS=,; echo "$*")
-    append keyed.op config "{\"version\":\"$version\",\"routes\":{\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\",\"max_attempts\"],\"rows\":[$rows]},\"services\":{\"columns\":[\"name\",\"health_path\"],\"rows\":[[\"front\",\"/health\"],[\"back\",\"/health\"],[\"rare\",\"/health\"]]},\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":${BODY_BYTES:-100000},\"header_timeout_s\":1,\"idle_timeout_s\":5}}"
+    append keyed.op config "{\"version\":\"$version\",\"routes\":{\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\",\"max_attempts\",\"public\"],\"rows\":[$rows]},\"services\":{\"columns\":[\"name\",\"health_path\"],\"rows\":[[\"front\",\"/health\"],[\"back\",\"/health\"],[\"rare\",\"/health\"]]},\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":${BODY_BYTES:-100000},\"header_timeout_s\":1,\"idle_timeout_s\":5}$keyed}"
 }
 
 store_mode() {
--- a/test/wire.c
+++ b/test/wire.c
@@ -117,6 +117,65 @@
     g_string_free(s, TRUE);
 }
 
+#define KEYED(rows)                                                           \
+    "{\"version\":\"0000000c\",\"routes\":{\"columns\":[\"name\",\"host\","   \
+    "\"path_prefix\",\"kind\",\"service\",\"public\"],\"rows\":["             \
+    "[\"a\",\"h\",\"/x/\",\"download\",\"s1\",false],"                        \
+    "[\"b\",\"h\",\"/y/\",\"unsafe\",\"s1\",true]]},\"tenants\":{"            \
+    "\"columns\":[\"name\",\"api_keys\",\"priority\",\"rate_per_s\","         \
+    "\"burst\"],\"rows\":[" rows "]}}"
+
+static void
+test_workspaces(void)
+{
+    char *error;
+    SpRoutes *rs = parse_config(
+        KEYED("[\"w1\",[\"k1\",\"k2\"],1,73.5,80],[\"w2\",[],null,null,null]"),
+        &error);
+    const SpWorkspace *w;
+
+    CU_ASSERT_PTR_NULL(error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(rs);
+    CU_ASSERT(SpRoutes_Find(rs, "h", "/x/")->idempotent);
+    CU_ASSERT_FALSE(SpRoutes_Find(rs, "h", "/x/")->is_public);
+    CU_ASSERT(SpRoutes_Find(rs, "h", "/y/")->is_public);
+    CU_ASSERT_EQUAL(SpWorkspaces_Count(rs->workspaces), 2);
+    w = SpWorkspaces_FindKey(rs->workspaces, "k2");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(w);
+    CU_ASSERT_PTR_EQUAL(w, SpWorkspaces_At(rs->workspaces, 0));
+    CU_ASSERT_STRING_EQUAL(w->name, "w1");
+    CU_ASSERT(w->rank == 1 && w->rate == 73.5 && w->burst == 80);
+    w = SpWorkspaces_Find(rs->workspaces, "w2");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(w);
+    CU_ASSERT(w->index == 1 && w->rank == SP_RANK_OF_ROUTE && w->rate == 0);
+    CU_ASSERT_PTR_NULL(SpWorkspaces_FindKey(rs->workspaces, "k"));
+    CU_ASSERT_PTR_NULL(SpWorkspaces_FindKey(rs->workspaces, ""));
+    SpRoutes_Unref(rs);
+}
+
+/* An error names table, row, column and problem, and shows no key. */
+static void
+test_bad_workspaces(void)
+{
+    static const char *const texts[] = {
+        KEYED("[\"w1\",[\"k1\"],1,1,1],[\"w2\",[\"k1\"],1,1,1]"),
+        KEYED("[\"w1\",[\"k1\"],1,1,1],[\"w1\",[\"k2\"],1,1,1]"),
+        KEYED("[\"\",[\"k1\"],1,1,1]"),
+        KEYED("[\"w1\",[\"k1\"],1,-1,1]"),
+        KEYED("[\"w1\",[\"k1\"],1,1,\"k1\"]"),
+        KEYED("[\"w1\",[1],1,1,1]")};
+    char *error;
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+        CU_ASSERT_PTR_NULL(parse_config(texts[i], &error));
+        CU_ASSERT_PTR_NOT_NULL_FATAL(error);
+        CU_ASSERT(g_str_has_prefix(error, "tenants: row "));
+        CU_ASSERT_PTR_NULL(strstr(error, "k1"));
+        g_free(error);
+    }
+}
+
 static int
 report(const char *target, const char *body, SpReport *r)
 {
@@ -306,6 +365,8 @@
     {"platform", "config", test_config},
     {"platform", "bad config", test_bad_config},
     {"platform", "wide split", test_wide_split},
+    {"platform", "workspaces", test_workspaces},
+    {"platform", "bad workspaces", test_bad_workspaces},
     {"platform", "report", test_report},
     {"platform", "bad report", test_bad_report},
     {"platform", "records", test_records},
