spctl where: where a request would go now, and why

Change: SpBalancer_Explain tells what a selection weighs; relay/where.c answers on the metrics address; spctl where asks it. The selection itself is as before: its passes and its band of costs have names now.

--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(RELAYLIBS)
 
-$(OUT)/spctl: $(OUT)/cmd/review.o $(OUT)/cmd/trace.o
+$(OUT)/spctl: $(OUT)/cmd/review.o $(OUT)/cmd/trace.o $(OUT)/cmd/where.o
 $(OUT)/spctl $(OUT)/spcall: $(OUT)/%: $(OUT)/cmd/%.o $(OUT)/libspweb.a \
 		$(OUT)/libsp.a
 	@echo ld $@
--- a/cmd/spctl.c
+++ b/cmd/spctl.c
@@ -101,6 +101,12 @@
     return 1;
 }
 
+int
+ctl_ask(const char *path)
+{
+    return fetch("GET", path, NULL);
+}
+
 static void
 print_problems(const json_t *list, const char *file)
 {
@@ -330,6 +336,8 @@
     {"trace", "ID FILE..", "print what log files say of a request", run_trace},
     {"explain", "ID FILE..", "say what became of a request, and why",
      run_explain},
+    {"where", "HOST PATH", "where a request would go now (-n METRICS ADDR)",
+     run_where},
     {"keys", "", "make a pair of keys for the nodes' settings", run_keys},
     {"drain", "", "let a node's instance leave", run_drain},
     {"undrain", "", "let it take work again", run_undrain},
--- a/flow/chooser.c
+++ b/flow/chooser.c
@@ -125,9 +125,18 @@
     return best;
 }
 
+/* Only candidates of the zone of the best one are drawn, or only those of
+   other zones if it is in another. */
+static int
+is_in_band(const Pick *p, const SpUpstream *u, const SpUpstream *best,
+           double cost, double min_cost)
+{
+    return is_candidate(p, u) && u->same_zone == best->same_zone &&
+           cost <= COST_BAND * min_cost;
+}
+
 /* Returns the cheaper of two random candidates whose cost is within COST_BAND.
-   If best is in this zone, only candidates of this zone are drawn; otherwise
-   only those of other zones. */
+ */
 static SpUpstream *
 draw_two(const Pick *p, const SpUpstream *best, double min_cost)
 {
@@ -137,11 +146,8 @@
 
     for (i = 0; i < p->n; i++) {
         SpUpstream *u = p->list[i];
-        if (!is_candidate(p, u) || u->same_zone != best->same_zone) {
-            continue;
-        }
         cost = cost_of(u, p->mean_run_us, p->opts->cross_zone_us);
-        if (cost > COST_BAND * min_cost) {
+        if (!is_in_band(p, u, best, cost, min_cost)) {
             continue;
         }
         at =
@@ -182,26 +188,71 @@
     return best ? draw_two(p, best, min_cost) : NULL;
 }
 
+/* The passes of a selection, until one finds a candidate. */
+static const struct {
+    SpAcceptState accepts;
+    int include_failed;
+} passes[] = {
+    {SP_ACCEPT_ALL, 0}, {SP_ACCEPT_LAST_RESORT, 0}, {SP_ACCEPT_ALL, 1}};
+
+static void
+begin_pass(Pick *p, size_t i)
+{
+    p->accepts = passes[i].accepts;
+    p->include_failed = passes[i].include_failed;
+}
+
 SpUpstream *
 SpBalancer_Pick(SpUpstream *const *list, guint n, const SpBalancerOpts *o)
 {
-    static const struct {
-        SpAcceptState accepts;
-        int include_failed;
-    } order[] = {
-        {SP_ACCEPT_ALL, 0}, {SP_ACCEPT_LAST_RESORT, 0}, {SP_ACCEPT_ALL, 1}};
     Pick p = {list, n, o, SP_ACCEPT_ALL, 0, mean_run(list, n)};
     SpUpstream *u = o->ntried ? NULL : find_stale(&p);
     size_t i;
 
-    for (i = 0; !u && i < G_N_ELEMENTS(order); i++) {
-        p.accepts = order[i].accepts;
-        p.include_failed = order[i].include_failed;
+    for (i = 0; !u && i < G_N_ELEMENTS(passes); i++) {
+        begin_pass(&p, i);
         u = pick(&p);
     }
     return u;
 }
 
+/* Marks the instances among which a selection would draw. */
+static void
+mark_selectable(Pick *p, SpUpstreamView *views)
+{
+    const SpUpstream *stale = find_stale(p), *best = NULL;
+    double min_cost = 0;
+    size_t i;
+    guint k;
+
+    for (i = 0; !stale && !best && i < G_N_ELEMENTS(passes); i++) {
+        begin_pass(p, i);
+        best = cheapest(p, &min_cost);
+    }
+    for (k = 0; k < p->n; k++) {
+        SpUpstreamView *v = &views[k];
+        v->selectable =
+            v->upstream == stale ||
+            (best && is_in_band(p, v->upstream, best, v->cost_us, min_cost));
+    }
+}
+
+void
+SpBalancer_Explain(SpUpstream *const *list, guint n, const SpBalancerOpts *o,
+                   SpUpstreamView *views)
+{
+    Pick p = {list, n, o, SP_ACCEPT_ALL, 0, mean_run(list, n)};
+    guint i;
+
+    for (i = 0; i < n; i++) {
+        views[i].upstream = list[i];
+        views[i].cost_us = cost_of(list[i], p.mean_run_us, o->cross_zone_us);
+        views[i].used = utilization(list[i]);
+        views[i].avoided = list[i]->avoid_until > o->now;
+    }
+    mark_selectable(&p, views);
+}
+
 void
 SpUpstream_Sent(SpUpstream *u, int64_t now)
 {
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -279,6 +279,19 @@
    requests. */
 SpUpstream *SpBalancer_Pick(SpUpstream *const *list, guint n,
                             const SpBalancerOpts *o);
+/* What a selection weighs of one instance. */
+typedef struct SpUpstreamView {
+    const SpUpstream *upstream;
+    double cost_us; /* estimated; the lowest ones are selected */
+    double used;    /* part of its limit in use with one more request */
+    int avoided;    /* 1: it failed recently */
+    int selectable; /* 1: the request would go to one of these */
+} SpUpstreamView;
+
+/* SpBalancer_Explain fills n views with what SpBalancer_Pick would weigh now;
+   it selects nothing and changes nothing. */
+void SpBalancer_Explain(SpUpstream *const *list, guint n,
+                        const SpBalancerOpts *o, SpUpstreamView *views);
 /* SpBalancer_CrossZoneCost returns the cost of sending a request with that
    many bytes to another zone; aim_us is the route's target latency (0: none).
  */
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -96,7 +96,7 @@
     return 1;
 }
 
-static void
+void
 update_self(Relay *n, int64_t now)
 {
     Load l = local_load(n, now);
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -65,9 +65,14 @@
 static void
 on_metrics(void *ctx, SpHttpReq *r)
 {
-    const Relay *n = ctx;
-    GString *s = g_string_sized_new(8192);
+    Relay *n = ctx;
+    GString *s;
 
+    if (is_where_request(SpHttpReq_Msg(r))) {
+        answer_where(n, r);
+        return;
+    }
+    s = g_string_sized_new(8192);
     put_state(s, n);
     put_pool(s, n->pool);
     put_counters(s, &n->counters);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -20,6 +20,7 @@
  *   follow.c    the configuration there
  *   metrics.c   counters and histograms
  *   monitor.c   HTTP endpoint for metrics
+ *   where.c     where a request would go, for operators
  *   settings.c  settings
  *   stop.c      planned stop
  *   sprelay.c   start, timer and reload
@@ -254,6 +255,10 @@
 /* check.c */
 void tick_check(Relay *n, int64_t now);
 
+/* attempt.c */
+/* update_self brings the entry of the local instance up to date. */
+void update_self(Relay *n, int64_t now);
+
 /* entry.c, attempt.c */
 int listen_callers(Relay *n, GError **err);
 void end_attempt(Call *c, const Result *r);
@@ -298,6 +303,11 @@
 /* add_member enters a node that the store lists or another node names. */
 void add_member(Relay *n, const SpNodeInfo *m, int from_store);
 
+/* where.c */
+int is_where_request(const SpMsg *m);
+/* answer_where tells where a request would go now. */
+void answer_where(Relay *n, SpHttpReq *req);
+
 /* monitor.c */
 int listen_metrics(Relay *n, GError **err);
 
--- a/test/flow.c
+++ b/test/flow.c
@@ -248,6 +248,38 @@
     CU_ASSERT_PTR_EQUAL(SpBalancer_Pick(list, 2, &ch), &slow);
 }
 
+/* What is explained is what would be selected, and asking changes nothing. */
+static void
+test_chooser_explain(void)
+{
+    SpUpstream near = {.same_zone = 1, .accepts = SP_ACCEPT_ALL, .limit = 100};
+    SpUpstream far = {.accepts = SP_ACCEPT_ALL, .limit = 100};
+    SpUpstream failed = {.same_zone = 1, .accepts = SP_ACCEPT_ALL, .limit = 9};
+    SpUpstream *list[] = {&near, &far, &failed};
+    SpUpstreamView views[3];
+    uint64_t seed = 1;
+    SpBalancerOpts ch = {SP_SEC, SpBalancer_CrossZoneCost(0, 0), NULL, 0,
+                         &seed};
+    int busy, i;
+
+    near.run_us = far.run_us = failed.run_us = 100 * SP_MS;
+    near.sent_at = far.sent_at = failed.sent_at = SP_SEC;
+    failed.avoid_until = 2 * SP_SEC;
+    for (busy = 0; busy < 200; busy += 10) {
+        near.busy = busy;
+        SpBalancer_Explain(list, 3, &ch, views);
+        CU_ASSERT_EQUAL(seed, 1);
+        CU_ASSERT(views[2].avoided && !views[2].selectable);
+        CU_ASSERT(views[0].used > busy / 100.0);
+        for (i = 0; i < 3; i++) {
+            if (SpBalancer_Pick(list, 3, &ch) == list[i]) {
+                CU_ASSERT(views[i].selectable);
+            }
+        }
+        seed = 1;
+    }
+}
+
 /* A node that has just started has not measured a run time and reports 0: its
    instance must not be taken for a fast one. */
 static void
@@ -474,6 +506,7 @@
     {"flow", "chooser, fresh node", test_chooser_fresh},
     {"flow", "chooser, spread", test_chooser_spread},
     {"flow", "chooser, full", test_chooser_full},
+    {"flow", "chooser, explained", test_chooser_explain},
     {"flow", "chooser, probe", test_chooser_probe},
     {"flow", "admission, late steps", test_admission_late_steps},
     {"flow", "paths, no instance", test_paths_none},
