--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,7 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(OUT)/spup: $(patsubst %.c,$(OUT)/%.o,$(wildcard standin/up*.c))
 $(OUT)/spload: $(patsubst %.c,$(OUT)/%.o,$(wildcard standin/load*.c))
 $(OUT)/splog $(OUT)/spup $(OUT)/spload: $(OUT)/%: $(OUT)/standin/%.o \
 		$(OUT)/libspweb.a $(OUT)/libsp.a
