standin: spmesh plays workspaces with keys

Change: a plan may name workspaces; callers show their keys, a few unknown or taken ones, and instances check what they are shown. Faults flood, keys, uneven, hang-full and shift, drawn where a plan names them, so that the draws of earlier plans stay.

--- a/standin/mesh.h
+++ b/standin/mesh.h
@@ -7,6 +7,7 @@
  *   meshproc.c    the relays and the store as processes
  *   meshinst.c    instances
  *   meshcall.c    callers
+ *   meshkeys.c    workspaces, their keys, load and quotas
  *   meshlink.c    proxies between the relays
  *   meshrecord.c  record of all requests, and the rules that are checked
  *   meshfault.c   faults, drawn from the seed
@@ -25,6 +26,8 @@
 
 typedef struct Mesh Mesh;
 typedef struct Node Node;
+typedef struct MeshKey MeshKey;
+typedef struct Workspaces Workspaces;
 
 typedef struct MeshService {
     char name[MESH_NAME];
@@ -39,6 +42,10 @@
     double loses;           /* runs whose answer is lost by a reset */
     double spoils;          /* answers that are cut or no HTTP */
     double denies; /* runs answered 503, 429 or 408 without a promise */
+    double uneven; /* the fastest instance to the slowest; 0: all alike */
+    double knee;  /* part of the slots beyond which runs are slower; 0: none */
+    double hangs; /* part of the slots at full load beyond which requests, and
+                     what follows on their connections, are never answered */
 } MeshService;
 
 typedef struct MeshRoute {
@@ -62,6 +69,8 @@
 struct Node {
     Mesh *m;
     char name[MESH_NAME], zone[MESH_NAME], ip[24];
+    int zone_number;
+    int index; /* among those of its service */
     MeshService *service;
     uv_process_t proc;
     int running;      /* 1: the process exists */
@@ -83,7 +92,7 @@
     uint64_t seed;
     double seconds, load; /* load: factor on the rates of the plan */
     double size;          /* factor on the numbers of instances */
-    const char *faults;   /* names, separated by commas */
+    const char *faults;   /* names, separated by commas; NULL: by the plan */
     double rejects; /* part of the requests that a rejecting service rejects */
     int injectors;
     double warm_up_s; /* from the start of the relays to that of the callers */
@@ -111,6 +120,11 @@
     double give_up;  /* part of the callers that leave early */
     double abuse;    /* part of the callers that retry at once, and often */
     double burst;    /* factor on the rates; 1: none */
+    double flood;    /* factor on the rate of one workspace; 1: none */
+    double shift;    /* part of one zone's callers that are in others */
+    int shifted_zone;
+    char *more_faults;      /* of the plan */
+    Workspaces *workspaces; /* NULL: none */
     struct Record *record;
 };
 
@@ -132,6 +146,35 @@
 /* set_store_mode selects how the store responds (spstore). */
 void set_store_mode(Mesh *m, const char *mode);
 
+/* meshkeys.c */
+/* make_workspaces: shares fall with the power `skew` of the number; quota is
+   the factor of a workspace's rate on what it sends usually, 0: no quotas. */
+void make_workspaces(Mesh *m, int n, double skew, double quota);
+void write_workspaces(const Mesh *m, GString *s);
+/* change_keys takes one key away and adds another in the next configuration;
+   returns 0 if there are no workspaces. */
+int change_keys(Mesh *m);
+/* draw_load selects who floods, and the zone that callers leave. */
+void draw_load(Mesh *m);
+/* flood_factor returns the factor on all rates. */
+double flood_factor(const Mesh *m);
+/* draw_key returns the key of a caller; NULL: it shows none. */
+const MeshKey *draw_key(Mesh *m);
+/* probe_key returns a key that the newest configuration lets in, or not. */
+const MeshKey *probe_key(const Mesh *m, int let_in);
+const char *key_text(const MeshKey *k);
+/* key_workspace returns "" without a key. */
+const char *key_workspace(const MeshKey *k);
+/* is_kept: all configurations so far hold it; is_in_force: the newest does;
+   is_known: one of them did. No key is none of these. */
+int is_kept(const MeshKey *k);
+int is_in_force(const MeshKey *k);
+int is_known(const MeshKey *k);
+/* count_run counts the first run of a request for the quota of its key. */
+void count_run(Mesh *m, const MeshKey *k, int64_t sent_at);
+/* check_quotas prints and counts the workspaces that went beyond theirs. */
+int check_quotas(const Mesh *m);
+
 /* meshproc.c */
 /* Both return 0 if the process cannot be started. */
 int start_store(Mesh *m);
@@ -153,6 +196,9 @@
 
 /* meshcall.c */
 void tick_callers(Mesh *m, int64_t now);
+/* probe_keys sends each relay a key that it has to let in and one that it must
+   not. */
+void probe_keys(Mesh *m);
 
 /* meshlink.c */
 /* listen_for_links returns 0 if the address cannot be listened on. */
@@ -167,7 +213,14 @@
 /* Each call names the attempt; node is where it happened. */
 void record_sent(Mesh *m, const char *id, const MeshRoute *rt,
                  const Node *node);
+/* record_key tells which key the caller shows. */
+void record_key(Mesh *m, const char *id, const MeshKey *k, int is_probe);
+/* record_named tells which workspace a run was shown, "" for none, and whether
+   the key of the caller too. */
+void record_named(Mesh *m, const char *id, const char *workspace, int has_key);
 void record_run(Mesh *m, const char *id, const Node *node, int conn);
+/* record_hung: the instance will never answer it. */
+void record_hung(Mesh *m, const char *id, const Node *node, int conn);
 void record_rejected(Mesh *m, const char *id, const Node *node, int conn);
 void record_repeated(Mesh *m, const char *id, const Node *node, int conn,
                      int rejection);
--- a/standin/meshfault.c
+++ b/standin/meshfault.c
@@ -227,6 +227,26 @@
     set_fields(m, j->fault, 0);
 }
 
+/* Faults of who sends how much, and where. */
+static int
+begin_load(Mesh *m, Injector *j, const Fault *f)
+{
+    draw_load(m);
+    return begin_mesh(m, j, f);
+}
+
+static int
+begin_keys(Mesh *m, Injector *j, const Fault *f)
+{
+    (void)j;
+    (void)f;
+    if (!change_keys(m)) {
+        return 0;
+    }
+    publish_config(m);
+    return 1;
+}
+
 static int
 begin_config(Mesh *m, Injector *j, const Fault *f)
 {
@@ -310,6 +330,8 @@
 static const FaultOps leave_ops = {begin_leave, end_instance_crash};
 static const FaultOps service_ops = {begin_service, end_service};
 static const FaultOps mesh_ops = {begin_mesh, end_mesh};
+static const FaultOps load_ops = {begin_load, end_mesh};
+static const FaultOps keys_ops = {begin_keys, end_nothing};
 static const FaultOps config_ops = {begin_config, end_nothing};
 static const FaultOps store_ops = {begin_store, end_store};
 static const FaultOps link_ops = {begin_links, end_links};
@@ -351,6 +373,16 @@
     {"give-up", 2000, 4000, &mesh_ops, 0, {OF_MESH(give_up, 0.2, 0)}},
     {"abuse", 2000, 4000, &mesh_ops, 0, {OF_MESH(abuse, 0.4, 0)}},
     {"burst", 2000, 6000, &mesh_ops, 0, {OF_MESH(burst, 1.8, 1)}},
+    {"flood", 2000, 4500, &load_ops, 0, {OF_MESH(flood, 7.5, 1)}},
+    {"shift", 2000, 5000, &load_ops, 0, {OF_MESH(shift, 0.5, 0)}},
+    {"keys", 100, 1000, &keys_ops, 0, {{0}}},
+    {"uneven",
+     4000,
+     8000,
+     &service_ops,
+     0,
+     {OF_SERVICE(uneven, 3), OF_SERVICE(knee, 0.8)}},
+    {"hang-full", 2000, 4000, &service_ops, 0, {OF_SERVICE(hangs, 0.1)}},
     {"config", 100, 1000, &config_ops, 0, {{0}}},
     {"store", 500, 4000, &store_ops, 0, {{0}}},
     {"link-hold-in", 300, 6000, &link_ops, 0, {OF_NET(holds_in, 1)}},
--- a/standin/meshinst.h
+++ b/standin/meshinst.h
@@ -27,12 +27,14 @@
     GString *late;  /* to be sent where the next answer is due */
     GString *ahead; /* received while a request runs */
     int closed;
+    int hung; /* 1: nothing is answered on it any more */
 } IConn;
 
 struct Run {
     IConn *c;
     Instance *i;
-    char id[128], path[256];
+    char id[128], path[256], workspace[MESH_NAME];
+    int has_key; /* 1: it was shown the key of the caller */
     const MeshRoute *route;
     int begun, call_failed;
     int64_t deadline, end_at;
--- a/standin/meshplan.c
+++ b/standin/meshplan.c
@@ -7,7 +7,13 @@
  *   route NAME KIND SERVICE METHOD PER_S DEADLINE_MS WORK_MS ATTEMPTS RANK
  *         TIMEOUT_S [CALL]
  *
- * CALL names a route above it, which each run calls once.
+ *   workspaces COUNT SKEW [QUOTA]
+ *   faults NAME,...
+ *
+ * CALL names a route above it, which each run calls once. Workspaces come
+ * after the routes: SKEW is the power by which their shares fall, QUOTA their
+ * rate in parts of what they send usually. Faults are drawn beside the default
+ * ones.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -98,6 +104,19 @@
     return rt->service && (n == 11 || rt->call);
 }
 
+static int
+parse_workspaces(Mesh *m, char **w, int n)
+{
+    int count = n > 1 ? (int)strtol(w[1], NULL, 10) : 0;
+
+    if (n < 3 || n > 4 || count < 1 || m->workspaces) {
+        return 0;
+    }
+    make_workspaces(m, count, strtod(w[2], NULL),
+                    n == 4 ? strtod(w[3], NULL) : 0);
+    return 1;
+}
+
 static int
 parse_line(Mesh *m, const char *line)
 {
@@ -114,6 +133,13 @@
     else if (strcmp(w[0], "service") == 0) {
         ok = parse_service(m, w, n);
     }
+    else if (strcmp(w[0], "workspaces") == 0) {
+        ok = parse_workspaces(m, w, n);
+    }
+    else if (strcmp(w[0], "faults") == 0 && n == 2 && !m->more_faults) {
+        m->more_faults = g_strdup(w[1]);
+        ok = 1;
+    }
     else {
         ok = strcmp(w[0], "route") == 0 && parse_route(m, w, n);
     }
@@ -142,7 +168,9 @@
     n->m = m;
     n->service = s;
     g_snprintf(n->name, sizeof n->name, "%s-%d", s->name, k);
-    g_snprintf(n->zone, sizeof n->zone, "z%u", number % (guint)m->nzones);
+    n->index = k;
+    n->zone_number = (int)(number % (guint)m->nzones);
+    g_snprintf(n->zone, sizeof n->zone, "z%d", n->zone_number);
     g_snprintf(n->ip, sizeof n->ip, "%s.%u.%u", m->net, number / 200,
                number % 200 + 1);
     g_snprintf(addr, sizeof addr, "%s:8304", n->ip);
@@ -303,7 +331,9 @@
     }
     g_string_append(s, "]},\"limits\":{\"max_header_bytes\":16384,\"max_body_"
                        "bytes\":1000000,\"header_timeout_s\":3,\"idle_timeout_"
-                       "s\":15}}");
+                       "s\":15}");
+    write_workspaces(m, s);
+    g_string_append_c(s, '}');
     return s;
 }
 
