test: the soak of the real relays draws workspaces

Cause: the soak's configurations named no workspaces, so no key was shown, changed or flooded with under faults. Change: two of three seeds draw 2 to 4 workspaces. Callers show keys, one in ten unknown and one in ten of those that each version takes away; one workspace floods. Checked: the workspace and key that instances were shown, unknown keys, 401 for keys that all versions hold, keys in logs, and at the end that the newest key is let in and the one before it is not.

--- a/test/faults.sh
+++ b/test/faults.sh
@@ -4,6 +4,9 @@
 # store fails, one fault after the other and several at a time. Then the answers
 # of the callers are checked against the runs that the instances logged, and
 # every front node must serve again. Prints a line for each violation.
+# Two of three seeds draw workspaces: callers show keys, of which each version
+# takes some away, and one workspace floods. The end of a request's id says which
+# key was shown: wN, wNr (one that changes), x (unknown) or n (none).
 . test/fleet.sh
 stop_all() { # also what subshells have started
     local p
@@ -23,12 +26,39 @@
 FILLER=$(awk 'BEGIN {for (i = 0; i < 1400; i++)
     printf ",[\"idle%04d\",\"h.example\",\"/idle%04d/\",\"safe\",2,0.5,1,\"back\",2]", i, i}')
 
+KEYED=$((RANDOM % 3 > 0)) # 1: there are workspaces
+COUNT=$((2 + RANDOM % 3))
+FLOODER=$((1 + RANDOM % COUNT))
+MARK=$([ $KEYED -eq 1 ] && echo w1 || echo n) # of requests that show key-1
+
+keys_of() { # VERSION: rows of the workspaces
+    local w
+    [ $KEYED -eq 1 ] || return
+    for w in $(seq $COUNT); do
+        printf ',%s' "$(workspace "w$w" "[\"key-$w\",\"key-$w-$1\"]" null 0 0)"
+    done | cut -c2-
+}
+
+bearer() { [ $KEYED -eq 0 ] || printf '%s' "Authorization: Bearer $1\r\n"; }
+
+draw_key() { # sets `shown`, the header of a key, and `mark`, the end of the id
+    local w
+    mark=n shown=""
+    [ $KEYED -eq 1 ] || return
+    w=$((1 + RANDOM % COUNT)) mark=w$w key=key-$w
+    case $((RANDOM % 10)) in
+    0) mark=x key=nobody ;;
+    1) mark=w${w}r key=key-$w-$(cat "$DIR/acked") ;;
+    esac
+    shown=$(bearer $key)
+}
+
 next_version() { # [FILLER]: writers take turns, so that versions increase
     (
         flock 9
         version=$(($(cat "$DIR/version" 2>/dev/null || echo 1) + 1))
         echo $version >"$DIR/version"
-        [ "$(publish "$(printf %08x $version)" \
+        [ "$(WORKSPACES=$(keys_of $version) publish "$(printf %08x $version)" \
             "$(route safe /safe/ safe 2 1 back)" \
             "$(route once /once/ unsafe 2 0 back | sed 's/,2]$/,1]/')${1:-}")" = 200 ] &&
             echo $version >"$DIR/acked"
@@ -44,34 +74,47 @@
 sleep_briefly() { sleep "$((RANDOM % 2)).$((RANDOM % 10))"; }
 
 caller() { # N: sends requests until the end, records the answers
-    local i id what method path answer
+    local i id what method path answer mark shown
     RANDOM=$((SEED * 100 + $1))
     for ((i = 0; ; i++)); do
         [ -e "$DIR/stop" ] && return
-        id=c$1-$i
+        draw_key
+        id=c$1-$i-$mark
         what=$(pick safe once)
         method=GET
         [ $what = once ] && method=POST
         path=/$what/$id$(pick "" "" /slow-60 /refuse /slow-60/refuse-first /reset /late /extra /size-300)
-        answer=$(send "$(pick $FRONTS)" "$id" $method "$path" 2>/dev/null |
+        answer=$(send "$(pick $FRONTS)" "$id" $method "$path" "$shown" 2>/dev/null |
             tr -d '\r')
         echo "$id $what $method $path $(status_of <<<"$answer") $(tail -1 <<<"$answer")" \
             >>"$DIR/answers.$1"
     done
 }
 
+send_ahead() { # ID COUNT MARK KEY: requests, some of which aren't answered
+    local k
+    exec 7<>"/dev/tcp/$(ip_of "$(pick $FRONTS)")/7401" || return
+    for k in $(seq "$2"); do
+        printf 'GET /safe/ahead%s HTTP/1.1\r\nhost: h.example\r\nSiskinpond-Attempt-Id: %s-%s-%s\r\n%bSiskinpond-Deadline-Ms: 300\r\n\r\n' \
+            "$(pick /slow-60 /hang "")" "$1" "$k" "$3" "$(bearer "$4")"
+    done >&7
+    sleep "0.$((20 + RANDOM % 15))"
+    exec 7<&- 7>&-
+}
+
 ahead() { # N: sends 1 to 80 requests ahead and leaves, until the end
-    local i k
+    local i
     RANDOM=$((SEED * 100 + 50 + $1))
     for ((i = 0; ; i++)); do
         [ -e "$DIR/stop" ] && return
-        exec 7<>"/dev/tcp/$(ip_of "$(pick $FRONTS)")/7401" || continue
-        for k in $(seq $((1 + RANDOM % 80))); do
-            printf 'GET /safe/ahead%s HTTP/1.1\r\nhost: h.example\r\nSiskinpond-Attempt-Id: a%s-%s-%s\r\nSiskinpond-Deadline-Ms: 300\r\n\r\n' \
-                "$(pick /slow-60 /hang "")" "$1" "$i" "$k"
-        done >&7
-        sleep "0.$((20 + RANDOM % 15))"
-        exec 7<&- 7>&-
+        send_ahead "a$1-$i" $((1 + RANDOM % 80)) $MARK key-1
+    done 2>/dev/null
+}
+
+flood() { # one workspace sends far more than usual
+    local i
+    for i in 1 2 3 4 5 6; do
+        send_ahead "f$BASHPID-$RANDOM-$i" 60 w$FLOODER key-$FLOODER
     done 2>/dev/null
 }
 
@@ -91,7 +134,7 @@
 
 inject_fault() { # one random fault and its repair
     local n
-    case $((RANDOM % 11)) in
+    case $((RANDOM % (11 + KEYED))) in
     0 | 1) # a relay is killed
         n=$(pick $FRONTS $BACKS)
         take "$n" || return
@@ -146,6 +189,7 @@
         next_version
         kill -HUP "$(pid_of "relay-$(pick $FRONTS $BACKS)")" 2>/dev/null
         ;;
+    11) flood ;;
     esac
 }
 
@@ -169,12 +213,32 @@
         kill -0 "$(pid_of "relay-$n")" 2>/dev/null || echo "the relay of $n has ended by itself"
     done
 }
+check_keys() { # by the ends of the ids
+    cat "$DIR"/inst-*.out | sed -n 's/^run id=//p' | awk '
+        {n = split($1, a, "-"); mark = a[n]; sub(/r$/, "", mark); ws = ""}
+        mark !~ /^w[0-9]/ {mark = mark == "x" ? "x" : ""}
+        match($0, / workspace=[^ ]*/) {ws = substr($0, RSTART + 11, RLENGTH - 11)}
+        / key=passed-on/ {print "the key was passed on: " $0}
+        mark == "x" {print "ran with an unknown key: " $0}
+        mark != "x" && ws != mark {print "ran for another workspace: " $0}'
+    cat "$DIR"/answers.* | awk '$5 == 401 && $1 !~ /-(x|w[0-9]r)$/ {
+        print "refused with a key that all configurations have: " $0}'
+    grep -lE 'key-[0-9]|nobody' "$DIR"/relay-*.out "$DIR"/relay-*.err |
+        sed 's/^/a key stands in /'
+}
+keys_in_force() { # NODE: the newest key is let in and the one before it isn't
+    local v
+    [ $KEYED -eq 1 ] || return 0
+    v=$(metric "$1" sp_config_version)
+    [ "$(code "$1" "new-$1-w1r" GET /safe/end "$(bearer "key-1-$v")")" = 200 ] &&
+        [ "$(code "$1" "old-$1-x" GET /safe/end "$(bearer "key-1-$((v - 1))")")" = 401 ]
+}
 has_newest() { [ "$(metric "$1" sp_config_version)" -ge "$(cat "$DIR/acked")" ]; }
 
 for n in $FRONTS; do node "$n" front; done
 for n in $BACKS; do node "$n" back; done
 next_version
-for n in $FRONTS; do until_ok 10 served "$n" warm GET /safe/warm; done
+for n in $FRONTS; do until_ok 10 served "$n" warm-$MARK GET /safe/warm "$(bearer key-1)"; done
 callers=""
 for i in 1 2 3 4; do
     caller $i &
@@ -194,12 +258,14 @@
 wait $callers $injectors
 store_mode ok
 check
+check_keys
 # not after a further version, which would end that
 for n in $FRONTS $BACKS; do
     until_ok 5 has_newest "$n" || echo "$n has an older configuration"
 done
 for n in $FRONTS; do
-    until_ok 15 served "$n" "end-$n" GET /safe/end || echo "$n does not serve after the faults"
+    until_ok 15 served "$n" "end-$n-$MARK" GET /safe/end "$(bearer key-1)" || echo "$n does not serve after the faults"
+    until_ok 15 keys_in_force "$n" || echo "$n has keys of an older configuration"
 done
 echo "answers: $(cat "$DIR"/answers.* | awk '{print $5}' | sort | uniq -c |
     awk '{printf "%s%s of %s", s, $1, $2 ? $2 : "none"; s = ", "}')" >&2
