--- a/standin/meshcall.c
+++ b/standin/meshcall.c
@@ -16,6 +16,8 @@
 /* Other requests that a relay answers while it holds an overdue one. */
 #define PINGS 2
 #define SILENT_US (3 * SP_SEC)
+/* A longer time between two ticks is one in which this process stood still. */
+#define MAX_STEP_US (100 * SP_MS)
 #define MAX_WAIT_SHARE 0.33 /* of the time left */
 #define BODY "0123456789abcdef0123456789abcdef"
 
@@ -30,15 +32,16 @@
     const MeshKey *key; /* NULL: none */
     int is_probe;       /* 1: of a relay that was drawn already */
     SpExchange *x, *ping;
-    int pings;  /* that were answered since it is overdue */
-    GList link; /* in callers.list */
+    int pings;         /* that were answered since it is overdue */
+    int64_t silent_us; /* for which this process waited for their answers */
+    GList link;        /* in callers.list */
 } Caller;
 
 static struct {
     GQueue list;
     uint64_t count;
     double due[MESH_MAX_ROUTES]; /* requests that are due, in parts of one */
-    int64_t last_tick;
+    int64_t last_tick, step_us;
 } callers;
 
 static void
@@ -278,13 +281,16 @@
         n->signaled_at >= c->sent_at) {
         leave(c);
     }
-    else if (c->pings >= PINGS || now >= c->leave_at + SILENT_US) {
+    else if (c->pings >= PINGS || c->silent_us >= SILENT_US) {
         record_held(c->m, c->id);
         leave(c);
     }
     else if (!c->ping) {
         send_ping(c);
     }
+    else {
+        c->silent_us += callers.step_us;
+    }
 }
 
 void
@@ -296,6 +302,7 @@
         callers.last_tick = callers.last_tick ? callers.last_tick : now;
         add_callers(m, now);
     }
+    callers.step_us = MIN(now - callers.last_tick, MAX_STEP_US);
     callers.last_tick = now;
     for (k = callers.list.head; k; k = next) {
         Caller *c = k->data;
