flow: workspaces take turns in the queue of an instance

Cause: requests of one rank are served in order of arrival, so that a workspace that floods fills the queue and all others wait behind it.

Change: flow/fairqueue.c, start-time fair queueing by virtual time, weighted; the limiter uses it within each queue. A tag is bounded to the virtual time at which what waits now will have been served, so that a workspace of little weight is never later than in order of arrival. The expected wait of a workspace that always has requests waiting comes from the pace at which they are served: without that, room is spent on requests of the flood that become late. Requests that name no workspace keep the order of arrival exactly; the tables are made with the first name.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -9,6 +9,7 @@
 #define SP_FLOW_H
 
 #include "base/base.h"
+#include "flow/fairqueue.h"
 #include "flow/ranks.h"
 
 #define SP_FLOW_NAME 64
@@ -94,15 +95,16 @@
 
 /*
  * Limiter: concurrency limit and queues of the local instance. Requests are
- * dequeued by rank, then nested before new ones, then in order of arrival. A
- * request whose expected wait leaves too little of its deadline is rejected
- * on arrival.
+ * dequeued by rank, then nested before new ones, then by the turn of their
+ * workspace (flow/fairqueue.h), then in order of arrival. A request whose
+ * expected wait leaves too little of its deadline is rejected on arrival.
  */
 typedef struct SpLimiterReq {
-    GList link; /* in its queue; data points to this struct */
+    SpFairItem item;       /* in its queue; user points to this struct */
+    const char *workspace; /* of its caller, lives as long; NULL: none */
+    double weight;         /* of the workspace; 0: 1 */
     int rank;
     int nested; /* 1: made on behalf of a request that is already running */
-    int queue_index; /* in SpLimiter.queue */
     int64_t arrived;
     int64_t deadline;
     int queued;
@@ -122,13 +124,15 @@
     double limit; /* maximum number of running requests */
     int running;
     int queued;
-    GQueue queue[SP_LIMITER_QUEUES];
+    SpFairQueue queue[SP_LIMITER_QUEUES];
     double run_us; /* smoothed run time; a default before the first sample */
     int measured;  /* number of samples in run_us, capped */
     int64_t start_sum; /* sum of the start times of the running requests */
 } SpLimiter;
 
 void SpLimiter_Init(SpLimiter *l);
+/* SpLimiter_Clear frees what the queues hold; no request may be queued. */
+void SpLimiter_Clear(SpLimiter *l);
 void SpLimiter_SetSlots(SpLimiter *l, int slots);
 /* SpLimiter_SetLimit sets the limit for an instance that has not reported its
    slots yet. */
@@ -150,10 +154,10 @@
    there is no sample and the requests in progress show no longer run time than
    the default. */
 double SpLimiter_ReportedRun(const SpLimiter *l, int64_t now);
-/* SpLimiter_EstimateWait returns the expected queueing delay of a new
-   request in that queue. */
+/* SpLimiter_EstimateWait returns the expected queueing delay of a request that
+   is not queued yet. */
 int64_t SpLimiter_EstimateWait(const SpLimiter *l, int64_t now,
-                               int queue_index);
+                               const SpLimiterReq *r);
 
 /*
  * Admission control: the fraction of new requests of each rank that a service
--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -27,7 +27,17 @@
     l->run_us = DEFAULT_RUN_US;
     l->limit = 1;
     for (i = 0; i < SP_LIMITER_QUEUES; i++) {
-        g_queue_init(&l->queue[i]);
+        SpFairQueue_Init(&l->queue[i]);
+    }
+}
+
+void
+SpLimiter_Clear(SpLimiter *l)
+{
+    int i;
+
+    for (i = 0; i < SP_LIMITER_QUEUES; i++) {
+        SpFairQueue_Clear(&l->queue[i]);
     }
 }
 
@@ -66,26 +76,28 @@
     l->limit = MAX(1, limit);
 }
 
+static int
+queue_index_of(const SpLimiterReq *r)
+{
+    return 2 * SpRank_Index(r->rank) + (r->nested ? 0 : 1);
+}
+
 int64_t
-SpLimiter_EstimateWait(const SpLimiter *l, int64_t now, int queue_index)
+SpLimiter_EstimateWait(const SpLimiter *l, int64_t now, const SpLimiterReq *r)
 {
-    int i, ahead = 0;
+    int i, index = queue_index_of(r);
+    guint ahead;
 
     if (l->running + l->queued < (int)l->limit) {
         return 0;
     }
-    for (i = 0; i <= queue_index && i < SP_LIMITER_QUEUES; i++) {
-        ahead += (int)l->queue[i].length;
+    ahead = SpFairQueue_Ahead(&l->queue[index], r->workspace, r->weight);
+    for (i = 0; i < index; i++) {
+        ahead += l->queue[i].items.length;
     }
     return (int64_t)((ahead + 1) * run_time(l, now) / l->limit);
 }
 
-static int
-queue_index_of(const SpLimiterReq *r)
-{
-    return 2 * SpRank_Index(r->rank) + (r->nested ? 0 : 1);
-}
-
 static void
 start_run(SpLimiter *l, int64_t now, SpLimiterReq *r)
 {
@@ -100,7 +112,6 @@
 {
     int64_t left = r->deadline - now;
 
-    r->queue_index = queue_index_of(r);
     r->arrived = now;
     if (left <= 0) {
         return SP_LIMITER_REJECT;
@@ -109,13 +120,13 @@
         start_run(l, now, r);
         return SP_LIMITER_RUN;
     }
-    if ((double)SpLimiter_EstimateWait(l, now, r->queue_index) >
+    if ((double)SpLimiter_EstimateWait(l, now, r) >
         MAX_WAIT_SHARE * (double)left) {
         return SP_LIMITER_REJECT;
     }
-    r->link.data = r;
-    r->link.next = r->link.prev = NULL;
-    g_queue_push_tail_link(&l->queue[r->queue_index], &r->link);
+    r->item.user = r;
+    SpFairQueue_Push(&l->queue[queue_index_of(r)], &r->item, r->workspace,
+                     r->weight);
     r->queued = 1;
     l->queued++;
     return SP_LIMITER_QUEUE;
@@ -124,7 +135,7 @@
 static void
 remove_queued(SpLimiter *l, SpLimiterReq *r)
 {
-    g_queue_unlink(&l->queue[r->queue_index], &r->link);
+    SpFairQueue_Remove(&l->queue[queue_index_of(r)], &r->item);
     r->queued = 0;
     l->queued--;
 }
@@ -132,6 +143,7 @@
 SpLimiterReq *
 SpLimiter_Dequeue(SpLimiter *l, int64_t now)
 {
+    SpFairItem *item;
     SpLimiterReq *r;
     int i;
 
@@ -139,9 +151,11 @@
         return NULL;
     }
     for (i = 0; i < SP_LIMITER_QUEUES; i++) {
-        if (l->queue[i].head) {
-            r = l->queue[i].head->data;
-            remove_queued(l, r);
+        item = SpFairQueue_Take(&l->queue[i]);
+        if (item) {
+            r = item->user;
+            r->queued = 0;
+            l->queued--;
             start_run(l, now, r);
             return r;
         }
@@ -157,8 +171,8 @@
     int i;
 
     for (i = 0; i < SP_LIMITER_QUEUES; i++) {
-        for (k = l->queue[i].head; k; k = k->next) {
-            SpLimiterReq *r = k->data;
+        for (k = l->queue[i].items.head; k; k = k->next) {
+            SpLimiterReq *r = ((SpFairItem *)k->data)->user;
             if (r->deadline - now < need) {
                 remove_queued(l, r);
                 return r;
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -115,8 +115,7 @@
           "id=%s route=%s kind=%s rank=%d begun=%d wait_ms=%" PRId64
           " running=%d queued=%d limit=%.0f left_ms=%" PRId64,
           j->id, j->route, SpKind_Info(k)->name, j->req.rank, j->req.nested,
-          SpLimiter_EstimateWait(&j->n->limiter, SpHttp_Now(),
-                                 j->req.queue_index) /
+          SpLimiter_EstimateWait(&j->n->limiter, SpHttp_Now(), &j->req) /
               SP_MS,
           j->n->limiter.running, j->n->limiter.queued, j->n->limiter.limit,
           (j->req.deadline - SpHttp_Now()) / SP_MS);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -143,6 +143,13 @@
     wait
     unit_mutant never-late flow/limiter.c \
         's/r->deadline - now < need/r->deadline < need - now/' &
+    unit_mutant no-turns flow/fairqueue.c \
+        's|f->tag \+= 1 / f->weight;|f->tag += 0 / f->weight;|' &
+    unit_mutant tags-unbounded flow/fairqueue.c \
+        's|q->now \+ length / weights|q->now + 1e9 * length / weights|' &
+    unit_mutant pace-ignored flow/fairqueue.c \
+        's/MAX\(due, own \* f->gap\)/MAX(due, 0 * f->gap)/' &
+    wait
     unit_mutant reals-whole relay/frame.c 's/REAL_SCALE 1000/REAL_SCALE 1/' &
     unit_mutant far-for-nothing flow/chooser.c \
         's/return u->same_zone \? cost : cost \+ \(double\)cross_zone_us;/return cost + 0 * (double)cross_zone_us;/' &
--- a/test/test.h
+++ b/test/test.h
@@ -18,6 +18,9 @@
 /* ranks.c */
 extern const Unit ranks_units[];
 
+/* fairqueue.c */
+extern const Unit fairqueue_units[];
+
 /* unit.c: runs the CUnit tests; returns the exit status */
 int run_units(void);
 /* script.c: runs a scenario file; returns the exit status */
