flow: the admitted share of a rank is divided between workspaces

Cause: each request of a rank is admitted with the share of its path, so that all workspaces are refused for what one of them sends; and workspaces with a low rank of their own get the least share of that rank, a tenth, which can be less than a quarter of the mean.

Change: flow/fairshare.c. Each workspace is admitted with min(1, level / use), its use being its demand against its quota (equal where there are none); the level is such that the mean of a rank remains its share. A node sees a few clients of a few workspaces, so nodes exchange counts each second that add up and fade; uses are shrunk towards the usual one by twelve requests, times the nodes that one heard stands for.

Three mutants, each caught. Not wired yet.

--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -150,6 +150,13 @@
     unit_mutant pace-ignored flow/fairqueue.c \
         's/MAX\(due, own \* f->gap\)/MAX(due, 0 * f->gap)/' &
     wait
+    unit_mutant shares-alike flow/fairshare.c \
+        's|CLAMP\(level / use, least, 1\)|CLAMP(level + 0 * use, least, 1)|' &
+    unit_mutant ranks-not-lifted flow/fairlift.c \
+        's/l\.added\[g\] = least - l\.mean\[g\]/l.added[g] = 0 * least/' &
+    unit_mutant noise-counts flow/fairshare.c \
+        's/define PRIOR 12.0/define PRIOR 0.1/' &
+    wait
     unit_mutant reals-whole relay/frame.c 's/REAL_SCALE 1000/REAL_SCALE 1/' &
     unit_mutant far-for-nothing flow/chooser.c \
         's/return u->same_zone \? cost : cost \+ \(double\)cross_zone_us;/return cost + 0 * (double)cross_zone_us;/' &
--- a/test/test.h
+++ b/test/test.h
@@ -21,6 +21,9 @@
 /* fairqueue.c */
 extern const Unit fairqueue_units[];
 
+/* fairshare.c */
+extern const Unit fairshare_units[];
+
 /* unit.c: runs the CUnit tests; returns the exit status */
 int run_units(void);
 /* script.c: runs a scenario file; returns the exit status */
