relay: fair shares between workspaces at the entry and in the queue

Cause: flow/fairshare.h and flow/fairqueue.h decide, nothing asked them.

Change: relay/fair.c. Where a configuration has workspaces, the share of a path is divided between them at the entry, and each second a node tells those of its zone that are linked to it what arrived (frame arrivals, 32 receivers at most, nothing between zones). Jobs queue in the turn of their workspace, weighted by its quota. Metrics sp_refused_for_share_total and sp_workspaces_tracked; share= in call-refused is the probability for that request. Without workspaces no message is sent and no random number is drawn otherwise.

Result: test/fair.t, three runs in a row equal.

--- a/relay/entry.c
+++ b/relay/entry.c
@@ -230,15 +230,21 @@
 is_admitted(Call *c)
 {
     Relay *n = c->n;
+    double draw;
     SpShares s;
 
     if (c->nested) {
         return 1;
     }
     s = SpPaths_Shares(n->paths, c->arrived, c->route->name);
-    c->share = s.of[SpRank_Index(c->rank)];
-    return SpRand_Unit(&n->rand) < c->share ||
-           SpPaths_TakeProbe(n->paths, c->arrived, c->route->name);
+    c->share = fair_share(c, &s);
+    draw = SpRand_Unit(&n->rand);
+    if (draw < c->share ||
+        SpPaths_TakeProbe(n->paths, c->arrived, c->route->name)) {
+        return 1;
+    }
+    n->counters.refused_fair += draw < s.of[SpRank_Index(c->rank)];
+    return 0;
 }
 
 /* A request counts for the retry budget whether it is sent or not. */
--- a/relay/frame.c
+++ b/relay/frame.c
@@ -11,8 +11,8 @@
 #define LENGTH_BYTES 4
 
 static const char *const type_names[FRAME_NTYPES] = {
-    "hello",      "state",  "alive",  "call",    "answer",  "cancel",
-    "get_config", "config", "digest", "members", "stopping"};
+    "hello",      "state",  "alive",  "call",    "answer",   "cancel",
+    "get_config", "config", "digest", "members", "stopping", "arrivals"};
 
 const char *
 FrameType_Name(FrameType type)
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -30,6 +30,8 @@
                        link address, zone, service, start */
     FRAME_STOPPING, /* time by which the calls of the sender on this link have
                        to be answered */
+    FRAME_ARRIVALS, /* requests since the last report, in all; list of key and
+                       number for the workspaces with most of them */
     FRAME_NTYPES
 } FrameType;
 
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -170,6 +170,8 @@
     j->owner = o->owner;
     j->seq = o->seq;
     j->req.user = j;
+    j->req.workspace = j->workspace;
+    j->req.weight = workspace_weight(n, j->workspace);
     j->req.rank = o->rank;
     j->req.nested = o->nested;
     j->req.deadline = MIN(now + o->left_us, answer_by(n));
--- a/relay/link.c
+++ b/relay/link.c
@@ -343,6 +343,8 @@
         return handle_members(conn, f);
     case FRAME_STOPPING:
         return handle_stopping(conn, f);
+    case FRAME_ARRIVALS:
+        return handle_arrivals(conn, f);
     case FRAME_NTYPES:
         break;
     }
--- a/relay/link.h
+++ b/relay/link.h
@@ -135,6 +135,9 @@
    no node of this zone has passed on. */
 void tick_config_requests(Relay *n, int64_t now);
 
+/* fair.c */
+int handle_arrivals(LinkConn *conn, FrameIn *f);
+
 /* remote.c */
 int handle_call(LinkConn *conn, FrameIn *f);
 int handle_answer(LinkConn *conn, FrameIn *f);
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -24,6 +24,7 @@
     put(s, "config_version", n->routes ? (double)n->routes->version : 0);
     put(s, "nodes_linked", count_links(n));
     put(s, "store_followed", follows_store(n));
+    put(s, "workspaces_tracked", SpFairShare_Tracked(n->fair));
     put(s, "client_connections", SpHttpServer_Connections(n->http));
     put(s, "ready", is_relay_ready(n));
     put(s, "body_memory_bytes", (double)n->body_memory.used);
@@ -57,6 +58,7 @@
     put(s, "retries_total", (double)c->retries);
     put(s, "sent_own_zone_total", (double)c->sent_same_zone);
     put(s, "sent_other_zones_total", (double)c->sent_other_zones);
+    put(s, "refused_for_share_total", (double)c->refused_fair);
     put(s, "runs_total", (double)c->jobs);
     put(s, "runs_refused_total", (double)c->jobs_refused);
     put(s, "runs_rejected_total", (double)c->jobs_rejected);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -9,6 +9,7 @@
  *   run.c       their runs
  *   reports.c   its reports
  *   check.c     status checks of the local instance
+ *   fair.c      fair shares between workspaces
  *   link.c      connections to the other relays (link.h: shared definitions)
  *   peers.c     table of the other relays, and which of them are linked
  *   gossip.c    exchange of the directory of members between relays
@@ -30,6 +31,7 @@
 
 #include "conf/conf.h"
 #include "flow/directory.h"
+#include "flow/fairshare.h"
 #include "flow/stop.h"
 #include "relay/adapter.h"
 #include "relay/metrics.h"
@@ -166,6 +168,7 @@
     uint64_t calls, answered, refused, failed, timed_out, disconnected;
     uint64_t retries, sent_same_zone, sent_other_zones, jobs, jobs_refused;
     uint64_t jobs_rejected; /* the instance said that it did not run them */
+    uint64_t refused_fair;  /* for the part of their workspace only */
     uint64_t refusals_unstated; /* answers with the status of a refusal that do
                                    not say so */
 } RelayCounters;
@@ -213,6 +216,9 @@
     RelayCounters counters;
     Metrics *metrics;
     SpPaths *paths;
+    SpFairShare *fair;
+    int64_t fair_at;       /* time of the last report of arrivals */
+    uint64_t fair_version; /* configuration whose quotas it holds */
 };
 
 /* sprelay.c */
@@ -259,6 +265,14 @@
 /* update_self brings the entry of the local instance up to date. */
 void update_self(Relay *n, int64_t now);
 
+/* fair.c */
+/* workspace_weight returns the weight of a workspace in a queue. */
+double workspace_weight(const Relay *n, const char *name);
+/* fair_share counts a new request and returns the probability of its admission
+   at the shares of its path. */
+double fair_share(const Call *c, const SpShares *path);
+void tick_fair(Relay *n, int64_t now);
+
 /* entry.c, attempt.c */
 int listen_callers(Relay *n, GError **err);
 void end_attempt(Call *c, const Result *r);
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -234,6 +234,7 @@
     tick_check(n, now);
     tick_instance(n, now);
     tick_calls(n, now);
+    tick_fair(n, now);
     tick_links(n, now);
     SpHttpServer_Tick(n->http, now);
     log_load(n, now);
@@ -322,6 +323,7 @@
     n->services = g_hash_table_new(g_str_hash, g_str_equal);
     n->metrics = Metrics_New();
     n->paths = SpPaths_New();
+    n->fair = SpFairShare_New();
     g_queue_init(&n->jobs);
     g_queue_init(&n->calls);
     n->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
