flow: a workspace's retries are its own

Cause: a service's retry budget is spent by whoever is rejected first; the retries of one workspace that floods leave none to the others.

Change: flow/retryparts.h. SpRetryBudget_Room tells what is left. Attempts that a retry caused count for their workspace too.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -358,6 +358,12 @@
    request to succeed. */
 int SpRetryBudget_Take(SpRetryBudget *b, int64_t now, int rank,
                        double calls_left);
+/* What a rank may use of the budget. */
+typedef struct SpRetryRoom {
+    double ratio;   /* retries per first attempt */
+    double unspent; /* part of it that is left, 0 to 1 */
+} SpRetryRoom;
+SpRetryRoom SpRetryBudget_Room(SpRetryBudget *b, int64_t now, int rank);
 /* SpRetryBudget_SetBounds changes the bounds; each node's slack depends on the
    number of nodes. */
 void SpRetryBudget_SetBounds(SpRetryBudget *b, double ratio, double slack);
--- a/flow/retries.c
+++ b/flow/retries.c
@@ -89,6 +89,21 @@
     return (1 + expected_rejects) / rank_values[rank];
 }
 
+SpRetryRoom
+SpRetryBudget_Room(SpRetryBudget *b, int64_t now, int rank)
+{
+    double share = rank_shares[CLAMP(rank, 0, SP_ROUTE_RANKS - 1)], limit;
+    SpRetryRoom room = {share * b->o.ratio, 0};
+
+    (void)advance_window(b, now);
+    limit = b->o.ratio * sum_window(b->first_attempts) + b->o.slack;
+    if (limit > 0) {
+        room.unspent = 1 - sum_window(b->retries) / (share * limit);
+        room.unspent = CLAMP(room.unspent, 0, 1);
+    }
+    return room;
+}
+
 /* Adapts the highest cost to what was spent since the last step. */
 static void
 step_cost(SpRetryBudget *b, int64_t now, double unspent)
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -157,6 +157,31 @@
     refuse_or_fail(c, c->last_kind);
 }
 
+/* Takes a retry from the budget of the service and from the part that the
+   workspace has of it. */
+static int
+take_retry(Call *c, int64_t now)
+{
+    Service *s = service_of(c->n, c->service);
+    int rank = SpRankMap_RouteRank(&c->routes->ranks, c->rank);
+    SpRetryRoom room = SpRetryBudget_Room(&s->retries, now, rank);
+    double calls_left =
+        c->calls_left + SpPaths_Calls(c->n->paths, c->route->name);
+    int of_workspace = c->workspace_name[0] && s->retry_parts;
+
+    if (of_workspace &&
+        !SpRetryParts_Allows(s->retry_parts, now, c->workspace_name, &room)) {
+        return 0;
+    }
+    if (!SpRetryBudget_Take(&s->retries, now, rank, calls_left)) {
+        return 0;
+    }
+    if (of_workspace) {
+        SpRetryParts_CountRetry(s->retry_parts, now, c->workspace_name);
+    }
+    return 1;
+}
+
 static int
 may_retry(Call *c)
 {
@@ -165,10 +190,7 @@
         (c->maybe_ran && !c->route->idempotent)) {
         return 0;
     }
-    return SpRetryBudget_Take(
-        &service_of(c->n, c->service)->retries, SpHttp_Now(),
-        SpRankMap_RouteRank(&c->routes->ranks, c->rank),
-        c->calls_left + SpPaths_Calls(c->n->paths, c->route->name));
+    return take_retry(c, SpHttp_Now());
 }
 
 /* Records an attempt that reached an instance. */
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -251,11 +251,21 @@
 static void
 count_attempt(const Call *c)
 {
-    SpRetryBudget *b = &service_of(c->n, c->service)->retries;
+    Service *s = service_of(c->n, c->service);
 
-    SpRetryBudget_CountFirst(b, c->arrived);
+    SpRetryBudget_CountFirst(&s->retries, c->arrived);
     if (c->is_retry) {
-        SpRetryBudget_CountRetry(b, c->arrived);
+        SpRetryBudget_CountRetry(&s->retries, c->arrived);
+    }
+    if (!c->workspace_name[0]) {
+        return;
+    }
+    if (!s->retry_parts) {
+        s->retry_parts = SpRetryParts_New(s->retries.o.window_us);
+    }
+    SpRetryParts_CountFirst(s->retry_parts, c->arrived, c->workspace_name);
+    if (c->is_retry) {
+        SpRetryParts_CountRetry(s->retry_parts, c->arrived, c->workspace_name);
     }
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -32,6 +32,7 @@
 #include "conf/conf.h"
 #include "flow/directory.h"
 #include "flow/fairshare.h"
+#include "flow/retryparts.h"
 #include "flow/stop.h"
 #include "relay/adapter.h"
 #include "relay/metrics.h"
@@ -160,8 +161,9 @@
     char name[SP_FLOW_NAME];
     GPtrArray *upstreams; /* of SpUpstream */
     SpRetryBudget retries;
-    SpSubsetCount linked; /* how many of its nodes are to be linked */
-    int64_t used_at;      /* time of the last request to it; 0: never */
+    SpRetryParts *retry_parts; /* of workspaces; NULL before the first */
+    SpSubsetCount linked;      /* how many of its nodes are to be linked */
+    int64_t used_at;           /* time of the last request to it; 0: never */
 } Service;
 
 typedef struct RelayCounters {
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -154,6 +154,8 @@
         's|CLAMP\(level / use, least, 1\)|CLAMP(level + 0 * use, least, 1)|' &
     unit_mutant ranks-not-lifted flow/fairlift.c \
         's/l\.added\[g\] = least - l\.mean\[g\]/l.added[g] = 0 * least/' &
+    unit_mutant retries-of-all flow/retryparts.c \
+        's/unspent > COMMON_SHARE/unspent > 0 * COMMON_SHARE/' &
     unit_mutant noise-counts flow/fairshare.c \
         's/define PRIOR 12.0/define PRIOR 0.1/' &
     wait
--- a/test/test.h
+++ b/test/test.h
@@ -21,6 +21,9 @@
 /* fairqueue.c */
 extern const Unit fairqueue_units[];
 
+/* retryparts.c */
+extern const Unit retryparts_units[];
+
 /* fairshare.c */
 extern const Unit fairshare_units[];
 
