--- a/relay/entry.c
+++ b/relay/entry.c
@@ -230,26 +230,42 @@
 is_admitted(Call *c)
 {
     Relay *n = c->n;
+    double draw;
     SpShares s;
 
     if (c->nested) {
         return 1;
     }
     s = SpPaths_Shares(n->paths, c->arrived, c->route->name);
-    c->share = s.of[SpRank_Index(c->rank)];
-    return SpRand_Unit(&n->rand) < c->share ||
-           SpPaths_TakeProbe(n->paths, c->arrived, c->route->name);
+    c->share = fair_share(c, &s);
+    draw = SpRand_Unit(&n->rand);
+    if (draw < c->share ||
+        SpPaths_TakeProbe(n->paths, c->arrived, c->route->name)) {
+        return 1;
+    }
+    n->counters.refused_fair += draw < s.of[SpRank_Index(c->rank)];
+    return 0;
 }
 
 /* A request counts for the retry budget whether it is sent or not. */
 static void
 count_attempt(const Call *c)
 {
-    SpRetryBudget *b = &service_of(c->n, c->service)->retries;
+    Service *s = service_of(c->n, c->service);
 
-    SpRetryBudget_CountFirst(b, c->arrived);
+    SpRetryBudget_CountFirst(&s->retries, c->arrived);
+    if (c->is_retry) {
+        SpRetryBudget_CountRetry(&s->retries, c->arrived);
+    }
+    if (!c->workspace_name[0]) {
+        return;
+    }
+    if (!s->retry_parts) {
+        s->retry_parts = SpRetryParts_New(s->retries.o.window_us);
+    }
+    SpRetryParts_CountFirst(s->retry_parts, c->arrived, c->workspace_name);
     if (c->is_retry) {
-        SpRetryBudget_CountRetry(b, c->arrived);
+        SpRetryParts_CountRetry(s->retry_parts, c->arrived, c->workspace_name);
     }
 }
 
--- a/test/test.h
+++ b/test/test.h
@@ -18,6 +18,15 @@
 /* ranks.c */
 extern const Unit ranks_units[];
 
+/* fairqueue.c */
+extern const Unit fairqueue_units[];
+
+/* retryparts.c */
+extern const Unit retryparts_units[];
+
+/* fairshare.c */
+extern const Unit fairshare_units[];
+
 /* unit.c: runs the CUnit tests; returns the exit status */
 int run_units(void);
 /* script.c: runs a scenario file; returns the exit status */
