--- a/standin/meshplan.c
+++ b/standin/meshplan.c
@@ -271,7 +271,9 @@
     }
     g_string_append(s, p);
     file = g_strdup_printf("%s/%s.json", n->m->o.dir, n->name);
-    if (!g_file_set_contents(file, s->str, (gssize)s->len, err)) {
+    /* without a wait for the disk, in which spmesh would stand still */
+    if (!g_file_set_contents_full(file, s->str, (gssize)s->len,
+                                  G_FILE_SET_CONTENTS_NONE, 0644, err)) {
         g_free(file);
         file = NULL;
     }
