relay: one account of what is held for others, with one bound

Change: SpHeld counts it by kind, bounded by three quarters of memory_mb, with parts for the large kinds. A body alone may fill its part.

--- a/relay/link.c
+++ b/relay/link.c
@@ -80,10 +80,50 @@
     f->count = &conn->n->links->sent[type];
 }
 
+/* Brings the account up to the bytes that wait to be sent. */
+static void
+count_unsent(LinkConn *conn)
+{
+    SpBodyMemory *m = &conn->n->frame_memory;
+    size_t n = conn->closing ? 0
+                             : conn->out->len + uv_stream_get_write_queue_size(
+                                                    (uv_stream_t *)&conn->tcp);
+
+    if (n != conn->counted) {
+        SpBodyMemory_Release(m, conn->counted);
+        SpHeld_Add(m->all, m->kind, n);
+        m->used += n;
+        conn->counted = n;
+    }
+}
+
+int
+has_room_to_send(LinkConn *conn, size_t n)
+{
+    SpBodyMemory *m = &conn->n->frame_memory;
+
+    count_unsent(conn);
+    if (n <= SP_SMALL_BYTES) {
+        return 1;
+    }
+    if (!SpBodyMemory_Take(m, n)) {
+        return 0;
+    }
+    SpBodyMemory_Release(m, n); /* counted once it is queued */
+    return 1;
+}
+
+/* The memory for the messages that the link brings: answers or calls. */
+static SpBodyMemory *
+memory_of(LinkConn *conn)
+{
+    return conn->peer ? &conn->n->reply_memory : &conn->n->link_memory;
+}
+
 static void
 release_reserved(LinkConn *conn)
 {
-    SpBodyMemory_Release(&conn->n->link_memory, conn->reserved);
+    SpBodyMemory_Release(memory_of(conn), conn->reserved);
     conn->reserved = 0;
 }
 
@@ -93,16 +133,20 @@
 static int
 reserve_for_message(LinkConn *conn)
 {
-    SpBodyMemory *m = &conn->n->link_memory;
+    SpBodyMemory *m = memory_of(conn);
     size_t n = incomplete_frame(conn->in);
 
     if (conn->reserved == n || n <= KEPT_BYTES) {
         return 1;
     }
     if (!SpBodyMemory_Take(m, n)) {
-        if (m->used) {
+        if (m->used ||
+            (n <= m->all->limit / 2 && !SpHeld_Take(m->all, m->kind, n))) {
             return 0;
         }
+        if (n > m->all->limit / 2) {
+            SpHeld_Add(m->all, m->kind, n);
+        }
         m->used = n;
     }
     conn->reserved = n;
@@ -115,6 +159,7 @@
 {
     conn->closing = 1;
     release_reserved(conn);
+    count_unsent(conn);
     g_ptr_array_remove_fast(conn->n->links->conns, conn);
     /* reset, so that data still in flight is discarded and not delivered after
        the calls have ended */
@@ -188,10 +233,13 @@
 
 static void on_conn_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf);
 
+/* Answers give memory back, so they are read also while it is short for calls.
+ */
 static int
 has_room(LinkConn *conn)
 {
-    return !is_memory_short(conn->n) && reserve_for_message(conn);
+    return (conn->peer || !is_memory_short(conn->n)) &&
+           reserve_for_message(conn);
 }
 
 /* While a link is held, nothing can be heard on it. */
@@ -243,7 +291,7 @@
         return;
     }
     shrink_received(conn);
-    if (conn->closing || conn->peer) {
+    if (conn->closing) {
         return;
     }
     if (incomplete_frame(conn->in) != conn->reserved) {
@@ -278,12 +326,14 @@
 {
     gsize n = conn->out->len;
 
-    if (!conn->connected || conn->closing || n == 0) {
-        return;
+    if (conn->connected && !conn->closing && n) {
+        /* an error is also reported to the reader, which closes the link */
+        (void)SpHttp_Write((uv_stream_t *)&conn->tcp,
+                           (char *)g_byte_array_steal(conn->out, NULL), n);
+    }
+    if (n || conn->counted) {
+        count_unsent(conn);
     }
-    /* an error is also reported to the reader, which closes the link */
-    (void)SpHttp_Write((uv_stream_t *)&conn->tcp,
-                       (char *)g_byte_array_steal(conn->out, NULL), n);
 }
 
 void
--- a/relay/link.h
+++ b/relay/link.h
@@ -37,7 +37,8 @@
     Peer *peer; /* NULL if the other side opened the connection */
     GByteArray *in, *out;
     guint in_peak;    /* greatest length of in since it was made */
-    size_t reserved;  /* bytes of link_memory for the message in in */
+    size_t reserved;  /* bytes of memory for the message in in */
+    size_t counted;   /* unsent bytes in the account */
     int held;         /* 1: it is not read, since memory for bodies is short */
     GHashTable *jobs; /* on the serving side: seq to Job */
     int connected, closing;
@@ -98,6 +99,9 @@
 /* begin_link_frame begins a frame that is sent with the next flush. */
 void begin_link_frame(FrameOut *f, LinkConn *conn, FrameType type,
                       size_t nargs);
+/* has_room_to_send returns 1 if n more bytes may wait to be sent on the link.
+ */
+int has_room_to_send(LinkConn *conn, size_t n);
 /* mark_used records that a call begins on the link. */
 void mark_used(LinkConn *conn, int64_t now);
 /* state_interval_us returns the interval of the state messages on the link. */
--- a/test/test.h
+++ b/test/test.h
@@ -15,6 +15,9 @@
 /* eviction.c */
 extern const Unit eviction_units[];
 
+/* held.c */
+extern const Unit held_units[];
+
 /* directory.c */
 extern const Unit directory_units[];
 
--- a/test/unit.c
+++ b/test/unit.c
@@ -460,6 +460,7 @@
     add_units(fairshare_units);
     add_units(retryparts_units);
     add_units(eviction_units);
+    add_units(held_units);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
