--- a/relay/link.c
+++ b/relay/link.c
@@ -10,9 +10,6 @@
 /* Maximum delay between attempts to connect. */
 #define BACKOFF_MAX_US (2 * SP_SEC)
 #define BACKLOG 512
-/* A receive buffer that has grown beyond this is freed when it is empty, and a
-   message beyond it counts against link_memory until it is complete. */
-#define KEPT_BYTES ((guint)256 << 10)
 
 static int handle_frame(void *ctx, FrameType type, FrameIn *f);
 
@@ -80,79 +77,6 @@
     f->count = &conn->n->links->sent[type];
 }
 
-/* Brings the account up to the bytes that wait to be sent. */
-static void
-count_unsent(LinkConn *conn)
-{
-    SpBodyMemory *m = &conn->n->frame_memory;
-    size_t n = conn->closing ? 0
-                             : conn->out->len + uv_stream_get_write_queue_size(
-                                                    (uv_stream_t *)&conn->tcp);
-
-    if (n != conn->counted) {
-        SpBodyMemory_Release(m, conn->counted);
-        SpHeld_Add(m->all, m->kind, n);
-        m->used += n;
-        conn->counted = n;
-    }
-}
-
-int
-has_room_to_send(LinkConn *conn, size_t n)
-{
-    SpBodyMemory *m = &conn->n->frame_memory;
-
-    count_unsent(conn);
-    if (n <= SP_SMALL_BYTES) {
-        return 1;
-    }
-    if (!SpBodyMemory_Take(m, n)) {
-        return 0;
-    }
-    SpBodyMemory_Release(m, n); /* counted once it is queued */
-    return 1;
-}
-
-/* The memory for the messages that the link brings: answers or calls. */
-static SpBodyMemory *
-memory_of(LinkConn *conn)
-{
-    return conn->peer ? &conn->n->reply_memory : &conn->n->link_memory;
-}
-
-static void
-release_reserved(LinkConn *conn)
-{
-    SpBodyMemory_Release(memory_of(conn), conn->reserved);
-    conn->reserved = 0;
-}
-
-/* Reserves memory for the whole message that has begun to arrive, so that the
-   messages that have it are completed and give it back. Returns 0 if there is
-   none now. One that is larger than the limit is received alone. */
-static int
-reserve_for_message(LinkConn *conn)
-{
-    SpBodyMemory *m = memory_of(conn);
-    size_t n = incomplete_frame(conn->in);
-
-    if (conn->reserved == n || n <= KEPT_BYTES) {
-        return 1;
-    }
-    if (!SpBodyMemory_Take(m, n)) {
-        if (m->used ||
-            (n <= m->all->limit / 2 && !SpHeld_Take(m->all, m->kind, n))) {
-            return 0;
-        }
-        if (n > m->all->limit / 2) {
-            SpHeld_Add(m->all, m->kind, n);
-        }
-        m->used = n;
-    }
-    conn->reserved = n;
-    return 1;
-}
-
 /* Closes the socket and drops the jobs of its calls. */
 static void
 end_conn(LinkConn *conn)
@@ -264,7 +188,7 @@
 static void
 shrink_received(LinkConn *conn)
 {
-    if (conn->in_peak <= KEPT_BYTES || conn->in->len) {
+    if (conn->in_peak <= SP_LINK_KEPT_BYTES || conn->in->len) {
         return;
     }
     g_byte_array_unref(conn->in);
--- a/relay/link.h
+++ b/relay/link.h
@@ -7,6 +7,7 @@
  * outcome of its calls is unknown.
  *
  *   link.c    connections
+ *   linkmem.c their memory
  *   peers.c   table of the other relays, and which of them are linked
  *   gossip.c  exchange of the directory of members
  *   state.c   exchange of state and configuration
@@ -99,9 +100,6 @@
 /* begin_link_frame begins a frame that is sent with the next flush. */
 void begin_link_frame(FrameOut *f, LinkConn *conn, FrameType type,
                       size_t nargs);
-/* has_room_to_send returns 1 if n more bytes may wait to be sent on the link.
- */
-int has_room_to_send(LinkConn *conn, size_t n);
 /* mark_used records that a call begins on the link. */
 void mark_used(LinkConn *conn, int64_t now);
 /* state_interval_us returns the interval of the state messages on the link. */
@@ -109,6 +107,23 @@
 /* is_suspect: 1 if the link has been silent for too long. */
 int is_suspect(const LinkConn *conn, int64_t now);
 
+/* linkmem.c */
+/* A receive buffer that has grown beyond this is freed when it is empty, and a
+   message beyond it counts against the memory for messages until it is
+   complete. */
+#define SP_LINK_KEPT_BYTES ((guint)256 << 10)
+/* count_unsent brings the account up to the bytes that wait to be sent. */
+void count_unsent(LinkConn *conn);
+/* reserve_for_message reserves memory for the whole message that has begun to
+   arrive, so that the messages that have it are completed and give it back.
+   Returns 0 if there is none now. One that is larger than the limit is
+   received alone. */
+int reserve_for_message(LinkConn *conn);
+void release_reserved(LinkConn *conn);
+/* has_room_to_send returns 1 if n more bytes may wait to be sent on the link.
+ */
+int has_room_to_send(LinkConn *conn, size_t n);
+
 /* peers.c */
 void set_peer_service(Peer *p, const char *service);
 /* find_peer returns NULL if no link to addr was ever wanted. */
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -11,6 +11,7 @@
  *   check.c     status checks of the local instance
  *   fair.c      fair shares between workspaces
  *   link.c      connections to the other relays (link.h: shared definitions)
+ *   linkmem.c   the memory that they use
  *   peers.c     table of the other relays, and which of them are linked
  *   gossip.c    exchange of the directory of members between relays
  *   state.c     exchange of state and configuration between relays
