--- a/test/crowd.sh
+++ b/test/crowd.sh
@@ -129,6 +129,7 @@
 # crowd_nodes: two spnodes; callers enter at sales-1, the crowd at lots-1
 crowd_nodes() {
     MEMORY_MB=64 # a node's share of the machine, docs/CAPACITY.md
+    NODE_SETTINGS="\"memory_mb\": $MEMORY_MB,"
     NODE_PREFIX="prlimit --nofile=$FDS"
     . test/small.sh
     at=$(addr lots-1 inbound)
