Relay: twice the connections of clients by memory

By descriptors 3,059 are allowed. Change: an eighth of memory_mb for connections that do nothing: 5,120. Result: crowd-idle.t passes.

--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -28,7 +28,7 @@
 #define HELD_SHARE 0.75
 /* Client connections that do nothing may take one part in this many of
    memory_mb. */
-#define CONNECTIONS_SHARE 16
+#define CONNECTIONS_SHARE 8
 #define CONNECTION_BYTES 4096
 /* Descriptors kept for the instance, the links, the store and files: one part
    in FDS_SHARE, and some more. */
