--- a/test/test.h
+++ b/test/test.h
@@ -26,6 +26,9 @@
 
 /* fairshare.c */
 extern const Unit fairshare_units[];
+/* quota.c, quotaload.c */
+extern const Unit quota_units[];
+extern const Unit quota_load_units[];
 
 /* unit.c: runs the CUnit tests; returns the exit status */
 int run_units(void);
--- a/test/unit.c
+++ b/test/unit.c
@@ -459,6 +459,8 @@
     add_units(fairqueue_units);
     add_units(fairshare_units);
     add_units(retryparts_units);
+    add_units(quota_units);
+    add_units(quota_load_units);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
