relay: quotas of workspaces are kept

Change: the entry asks the quota after the key and before admission, and answers 429 with a Retry-After; a request that was admitted and refused later does not count. Usage, words and sums pass on the links; the contacts of the zones are linked to each other if there are quotas.

--- a/base/base.h
+++ b/base/base.h
@@ -62,6 +62,7 @@
     SP_LOG_DOWN,
     SP_OPTIONAL,
     SP_UNAUTHORIZED,
+    SP_OVER_QUOTA,
     SP_INTERNAL,
     SP_NKINDS
 } SpKind;
--- a/base/kind.c
+++ b/base/kind.c
@@ -52,6 +52,8 @@
                      "an optional part was left out under overload"},
     [SP_UNAUTHORIZED] = {"unauthorized", 401, SP_NOT_RUN, 0, 0,
                          "the token is missing or unknown"},
+    [SP_OVER_QUOTA] = {"over-quota", 429, SP_NOT_RUN, 0, 0,
+                       "the workspace has used up its quota"},
     [SP_INTERNAL] = {"internal", 500, SP_UNKNOWN, 0, 0, "internal error"},
 };
 
--- a/relay/call.h
+++ b/relay/call.h
@@ -24,6 +24,7 @@
     char workspace_name[SP_FLOW_NAME]; /* the same, or that of the request on
                                           behalf of which a call is made; or
                                           empty */
+    int in_quota; /* 1: it counts for the quota of its workspace */
     double share; /* at which the original request was admitted */
     int nested;   /* 1: made on behalf of a running request */
     int is_retry; /* 1: that request is a retry, or caused by one */
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -41,20 +41,35 @@
     g_free(c);
 }
 
+/* Writes the field of the workspace, if there is one. */
+static const char *
+workspace_field(const Call *c, char *buf, size_t size)
+{
+    char name[SP_FLOW_NAME * 4];
+
+    buf[0] = '\0';
+    if (c->workspace_name[0]) {
+        g_snprintf(buf, size, " workspace=%s",
+                   SpLog_Quote(name, sizeof name, c->workspace_name));
+    }
+    return buf;
+}
+
 static void
 answer_error(Call *c, SpKind k, int status, const char *lines)
 {
-    char body[96];
+    char body[96], field[SP_FLOW_NAME * 5];
     int64_t now = SpHttp_Now();
 
     SpLog(SP_LOG_INFO, "call-refused",
           "id=%s route=%s service=%s kind=%s status=%d ms=%" PRId64
           " left_ms=%" PRId64
-          " tried=%d reached=%d rank=%d share=%.2f config=%" PRIu64,
+          " tried=%d reached=%d rank=%d share=%.2f config=%" PRIu64 "%s",
           c->id ? c->id : "-", c->route ? c->route->name : "-",
           c->service ? c->service : "-", SpKind_Info(k)->name, status,
           (now - c->arrived) / SP_MS, (c->deadline - now) / SP_MS, c->ntried,
-          c->reached, c->rank, c->share, c->routes ? c->routes->version : 0);
+          c->reached, c->rank, c->share, c->routes ? c->routes->version : 0,
+          workspace_field(c, field, sizeof field));
     Metrics_Answer(c->n->metrics, c->route ? c->route->name : NULL, k,
                    now - c->arrived);
     mark_parent(c);
@@ -86,14 +101,23 @@
 
 /* The request has not run and will not: the caller may retry it. */
 static void
-refuse(Call *c, SpKind k)
+refuse_for(Call *c, SpKind k, int status, int64_t retry_ms)
 {
     char line[48];
 
     c->n->counters.refused++;
+    if (c->in_quota) {
+        return_to_quota(c->n, c->workspace);
+    }
     g_snprintf(line, sizeof line, "Retry-After: %.3f\r\n",
-               (double)retry_after_ms(c) / 1000.0);
-    answer_error(c, k, 503, line);
+               (double)retry_ms / 1000.0);
+    answer_error(c, k, status, line);
+}
+
+static void
+refuse(Call *c, SpKind k)
+{
+    refuse_for(c, k, 503, retry_after_ms(c));
 }
 
 static void
@@ -247,6 +271,22 @@
     return 0;
 }
 
+/* Refuses a request beyond the quota of its workspace. */
+static int
+take_quota(Call *c)
+{
+    int64_t retry_us;
+
+    if (!c->workspace) {
+        return 1;
+    }
+    c->in_quota = admit_to_quota(c->n, c->workspace, &retry_us);
+    if (!c->in_quota) {
+        refuse_for(c, SP_OVER_QUOTA, 429, retry_us / SP_MS);
+    }
+    return c->in_quota;
+}
+
 /* A request counts for the retry budget whether it is sent or not. */
 static void
 count_attempt(const Call *c)
@@ -316,6 +356,9 @@
         refuse(c, SP_LEAVING);
         return;
     }
+    if (!take_quota(c)) {
+        return;
+    }
     if (!is_admitted(c)) {
         refuse(c, SP_SHED);
         return;
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -32,6 +32,13 @@
                        to be answered */
     FRAME_ARRIVALS, /* requests since the last report, in all; list of key and
                        number for the workspaces with most of them */
+    FRAME_USAGE, /* number of the report, 1 if the sender leaves, list of: key
+                    of a workspace, offered, admitted, demand */
+    FRAME_WORDS, /* number of the report that it answers or 0, list of: key,
+                    fraction, share, wait in milliseconds */
+    FRAME_SUMS,  /* start of the sender, 1 if full, list of: key, admitted,
+                    demand, offered, part held, level; list of the keys of
+                    its members */
     FRAME_NTYPES
 } FrameType;
 
--- a/relay/link.c
+++ b/relay/link.c
@@ -345,6 +345,12 @@
         return handle_stopping(conn, f);
     case FRAME_ARRIVALS:
         return handle_arrivals(conn, f);
+    case FRAME_USAGE:
+        return handle_usage(conn, f);
+    case FRAME_WORDS:
+        return handle_words(conn, f);
+    case FRAME_SUMS:
+        return handle_sums(conn, f);
     case FRAME_NTYPES:
         break;
     }
--- a/relay/link.h
+++ b/relay/link.h
@@ -9,7 +9,9 @@
  *   link.c    connections
  *   peers.c   table of the other relays, and which of them are linked
  *   gossip.c  exchange of the directory of members
+ *   contacts.c  the first nodes of each zone
  *   state.c   exchange of state and configuration
+ *   quota.c   exchange of reports and sums for quotas
  *   remote.c  calls
  */
 #ifndef SP_LINK_H
@@ -47,6 +49,9 @@
     uint64_t sent_state;     /* number of the last state sent on it */
     char name[SP_FLOW_NAME]; /* of the other side, from its hello */
     int same_zone;           /* 1: the other side is in this zone */
+    int64_t up_at;           /* when the other side said hello */
+    int64_t usage_at;        /* when it last reported to the ledger here */
+    int64_t sums_at;         /* when all sums were last sent on it */
     uint64_t version;        /* of the other side's configuration */
     int64_t version_at;      /* when it was first reported */
 } LinkConn;
@@ -58,11 +63,13 @@
     char zone[SP_FLOW_NAME];
     char service[SP_FLOW_NAME]; /* empty: not known yet */
     uint64_t incarnation;
-    int wanted;     /* 1: it is in the subset to be linked */
-    int was_wanted; /* the same before the subset was last chosen */
-    int listed;     /* 1: upstream is in the list of its service */
-    int follows;    /* 1: it last reported that it follows the configuration in
-                       the store */
+    int wanted;      /* 1: it is in the subset to be linked */
+    int was_wanted;  /* the same before the subset was last chosen */
+    int listed;      /* 1: upstream is in the list of its service */
+    guint contact;   /* rank among the contacts of its zone, from 1; 0: none */
+    int64_t sums_at; /* when its ledger last sent sums */
+    int follows; /* 1: it last reported that it follows the configuration in
+                    the store */
     SpUpstream upstream;
     LinkConn *conn;
     GHashTable *calls; /* seq to Call */
@@ -109,6 +116,10 @@
 void set_peer_service(Peer *p, const char *service);
 /* find_peer returns NULL if no link to addr was ever wanted. */
 Peer *find_peer(const Relay *n, const char *addr);
+/* find_peer_of returns the peer of that node, or NULL. */
+Peer *find_peer_of(const Relay *n, const char *name);
+/* want_peer adds a node to the subset to be linked. */
+Peer *want_peer(Relay *n, const SpNodeInfo *m, int64_t now);
 /* refresh_links chooses the subset of nodes to be linked. */
 void refresh_links(Relay *n, int64_t now);
 /* retry_peer connects to the node at addr at the next tick, without the
@@ -117,6 +128,23 @@
 /* mark_reachable is called when the node of that name has shown itself. */
 void mark_reachable(Relay *n, const char *name);
 
+/* contacts.c */
+void want_contacts(Relay *n, int64_t now);
+/* list_zone returns the SpNodeInfo of a zone that were not given up, in
+   the order of their names. */
+GPtrArray *list_zone(const Relay *n, const char *zone);
+/* is_contact returns 1 if this node is a contact of its zone; unless
+   reachable_only is 1, nodes that can't be reached count before it. */
+int is_contact(const Relay *n, int reachable_only);
+/* count_zones returns a table of zone name to the number of its nodes that
+   were not given up. */
+GHashTable *count_zones(const Relay *n);
+
+/* quota.c, sums.c; the handle functions return 0 if the frame is malformed. */
+int handle_usage(LinkConn *conn, FrameIn *f);
+int handle_words(LinkConn *conn, FrameIn *f);
+int handle_sums(LinkConn *conn, FrameIn *f);
+
 /* gossip.c; the handle functions return 0 if the frame is malformed. */
 void tick_gossip(Relay *n, int64_t now);
 void send_digest(LinkConn *conn);
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -81,6 +81,7 @@
     put_counters(s, &n->counters);
     print_links(n, s);
     print_store(n, s);
+    print_quotas(n, s);
     Metrics_Print(n->metrics, s);
     SpHttpReq_Respond(r, 200, "Content-Type: text/plain; version=0.0.4\r\n",
                       s->str, s->len);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -15,9 +15,6 @@
 #define SERVICE_USED_US (30 * SP_SEC)
 /* An unwanted link is closed after this time without a new call. */
 #define UNWANTED_US (2 * SP_SEC)
-/* Nodes of the zone, the first ones by name, to which every node of the zone
-   keeps a link: two of them follow the store. */
-#define ZONE_CONTACTS 3
 
 /* Instances to link for the service of this node, whose demand is summed up,
    for the services in use, and for the others. */
@@ -60,6 +57,15 @@
     return g_hash_table_lookup(n->links->peers, addr);
 }
 
+Peer *
+find_peer_of(const Relay *n, const char *name)
+{
+    const SpNodeInfo *m = SpDirectory_Get(n->directory, name);
+    Peer *p = m ? find_peer(n, m->addr) : NULL;
+
+    return p && strcmp(p->name, name) == 0 ? p : NULL;
+}
+
 void
 retry_peer(Relay *n, const char *addr, int64_t now)
 {
@@ -88,7 +94,7 @@
     return p;
 }
 
-static void
+Peer *
 want_peer(Relay *n, const SpNodeInfo *m, int64_t now)
 {
     Peer *p = find_peer(n, m->addr);
@@ -104,6 +110,7 @@
         p->seen_at = now;
     }
     p->wanted = 1;
+    return p;
 }
 
 /*
@@ -161,36 +168,6 @@
     return groups;
 }
 
-static int
-compare_names(gconstpointer a, gconstpointer b)
-{
-    return strcmp((*(SpNodeInfo *const *)a)->name,
-                  (*(SpNodeInfo *const *)b)->name);
-}
-
-static void
-want_zone_contacts(Relay *n, int64_t now)
-{
-    GPtrArray *list = g_ptr_array_new();
-    SpDirectoryIter it = {0};
-    SpNodeInfo *m;
-    guint i, reachable = 0;
-
-    while ((m = SpDirectory_Next(n->directory, &it)) != NULL) {
-        if (!m->gone && strcmp(m->zone, n->settings.zone) == 0 &&
-            strcmp(m->name, n->settings.name) != 0) {
-            g_ptr_array_add(list, m);
-        }
-    }
-    g_ptr_array_sort(list, compare_names);
-    for (i = 0; i < list->len && reachable < ZONE_CONTACTS; i++) {
-        m = g_ptr_array_index(list, i);
-        want_peer(n, m, now);
-        reachable += !m->unreachable;
-    }
-    g_ptr_array_unref(list);
-}
-
 void
 refresh_links(Relay *n, int64_t now)
 {
@@ -204,12 +181,13 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         ((Peer *)value)->was_wanted = ((Peer *)value)->wanted;
         ((Peer *)value)->wanted = 0;
+        ((Peer *)value)->contact = 0;
     }
     g_hash_table_iter_init(&it, groups);
     while (g_hash_table_iter_next(&it, &name, &value)) {
         want_service(n, name, value, now);
     }
-    want_zone_contacts(n, now);
+    want_contacts(n, now);
     g_hash_table_iter_init(&it, n->links->peers);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         Peer *p = value;
--- /dev/null
+++ b/relay/quotas.h
@@ -0,0 +1,33 @@
+/* quotas: definitions shared by quota.c and sums.c. */
+#ifndef SP_QUOTAS_H
+#define SP_QUOTAS_H
+
+#include "flow/ledger.h"
+#include "relay/link.h"
+
+struct Quotas {
+    SpQuota *quota;
+    SpLedger *ledger;   /* NULL unless this node is a contact of its zone or
+                           others report to it */
+    GHashTable *limits; /* key to LoggedLimit */
+    char coordinator[SP_FLOW_NAME]; /* empty: none */
+    int64_t coordinator_at;         /* since when */
+    int64_t word_at;                /* when another node last said a word */
+    char avoid[SP_FLOW_NAME];       /* a node that did not answer */
+    int64_t avoid_until;
+    int64_t step_at;  /* time of the last step */
+    int64_t sums_at;  /* when sums near the limits were last sent */
+    int64_t alive_at; /* when any were sent to all contacts */
+    int64_t zones_at;
+};
+
+/* quota.c */
+int is_own_coordinator(const Relay *n);
+
+/* sums.c */
+/* step_ledger keeps a ledger while it is needed, and exchanges sums. */
+void step_ledger(Relay *n, int64_t now);
+/* use_ledger returns the ledger, which is begun if there is none. */
+SpLedger *use_ledger(Relay *n, int64_t now);
+
+#endif
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -14,6 +14,9 @@
  *   peers.c     table of the other relays, and which of them are linked
  *   gossip.c    exchange of the directory of members between relays
  *   state.c     exchange of state and configuration between relays
+ *   contacts.c  the first nodes of each zone
+ *   quota.c     quotas of workspaces: admission, reports to the coordinator
+ *   sums.c      the same at the coordinator, and between coordinators
  *   remote.c    calls between relays
  *   frame.c     encoding of the messages on those connections
  *   store.c     calls to the platform's store (store.h: shared definitions)
@@ -67,6 +70,7 @@
 typedef struct Relay Relay;
 typedef struct Links Links;
 typedef struct Store Store;
+typedef struct Quotas Quotas;
 typedef struct Peer Peer;
 typedef struct Call Call; /* a request of a caller, in call.h */
 
@@ -221,6 +225,7 @@
     SpFairShare *fair;
     int64_t fair_at;       /* time of the last report of arrivals */
     uint64_t fair_version; /* configuration whose quotas it holds */
+    Quotas *quotas;
 };
 
 /* sprelay.c */
@@ -324,6 +329,21 @@
 /* answer_where tells where a request would go now. */
 void answer_where(Relay *n, SpHttpReq *req);
 
+/* quota.c, sums.c */
+void open_quotas(Relay *n);
+/* configure_quotas takes over the workspaces of the configuration. */
+void configure_quotas(Relay *n);
+/* has_quotas returns 1 if the configuration limits a workspace. */
+int has_quotas(const Relay *n);
+/* admit_to_quota returns 1 if a request is within the quota of its workspace;
+   else it sets *retry_us to the time after which the caller should return. */
+int admit_to_quota(Relay *n, const SpWorkspace *w, int64_t *retry_us);
+/* return_to_quota takes off a request that was admitted and has not run. */
+void return_to_quota(Relay *n, const SpWorkspace *w);
+void tick_quotas(Relay *n, int64_t now);
+/* print_quotas appends the metrics of the quotas to s. */
+void print_quotas(const Relay *n, GString *s);
+
 /* monitor.c */
 int listen_metrics(Relay *n, GError **err);
 
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -90,6 +90,7 @@
     n->routes = rs;
     SpAdmission_SetRanks(&n->admission, &rs->ranks);
     apply_limits(n);
+    configure_quotas(n);
     broadcast_state(n);
     return 1;
 }
@@ -236,6 +237,7 @@
     tick_calls(n, now);
     tick_fair(n, now);
     tick_links(n, now);
+    tick_quotas(n, now);
     SpHttpServer_Tick(n->http, now);
     log_load(n, now);
     tick_reload(n, now);
@@ -324,6 +326,7 @@
     n->metrics = Metrics_New();
     n->paths = SpPaths_New();
     n->fair = SpFairShare_New();
+    open_quotas(n);
     g_queue_init(&n->jobs);
     g_queue_init(&n->calls);
     n->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
--- a/relay/state.c
+++ b/relay/state.c
@@ -280,6 +280,7 @@
         return 0;
     }
     g_strlcpy(conn->name, m.name, sizeof conn->name);
+    conn->up_at = SpHttp_Now();
     conn->same_zone = strcmp(m.zone, n->settings.zone) == 0;
     add_member(n, &m, 0);
     mark_reachable(n, m.name);
