--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 RELAYLIBS = -lhttp_parser -luv -lmsgpackc -lm \
 	$(shell pkg-config --libs $(PKGS))
 PROGS = $(addprefix $(OUT)/,sprelay spnode spctl spcall splog spup spload \
-	spstore spinst spmesh)
+	spstore spinst spmesh spcrowd)
 SRC = $(wildcard */*.c)
 HDR = $(wildcard */*.h)
 
@@ -71,6 +71,10 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ -lpthread $(RELAYLIBS)
 
+$(OUT)/spcrowd: $(OUT)/standin/spcrowd.o $(OUT)/libsp.a
+	@echo ld $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(RELAYLIBS)
+
 $(OUT)/redirect.so: test/redirect.c standin/meshport.h
 	@mkdir -p $(@D)
 	@echo ld $@
--- a/cmd/spctl.c
+++ b/cmd/spctl.c
@@ -405,7 +405,7 @@
         {"help", no_argument, NULL, 'h'},
         {"version", no_argument, NULL, 'V'},
         {NULL, 0, NULL, 0}};
-    SpWebOpts wo = {1 << 20, 65536, 60000, 10};
+    SpWebOpts wo = {1 << 20, 65536, 60000, 10, 0};
     size_t i;
     int c;
 
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -197,6 +197,7 @@
     int stop_ms; /* 0: use the value of the document */
     int idle_ms; /* idle time-out of a connection */
     int max_connections;
+    int memory_mb;    /* memory that the process may use */
     int header_bytes; /* size limit of a request head */
     int fault_drops;  /* 1: the admin API may drop peers, for tests */
 } SpNodeSettings;
--- a/conf/settings.c
+++ b/conf/settings.c
@@ -89,6 +89,7 @@
     {"max_connections", SpRead_Int, OFF(max_connections), 0, 1, 1000000, 0,
      NULL},
     {"header_bytes", SpRead_Int, OFF(header_bytes), 0, 256, 65536, 0, NULL},
+    {"memory_mb", SpRead_Int, OFF(memory_mb), 0, 16, 65536, 0, NULL},
     {"fault_drops", SpRead_Bool, OFF(fault_drops), 0, 0, 0, 0, NULL},
     {NULL, NULL, 0, 0, 0, 0, 0, NULL}};
 
@@ -139,6 +140,7 @@
     g_strlcpy(s->log_level, "info", sizeof s->log_level);
     s->idle_ms = 30000;
     s->max_connections = 4096;
+    s->memory_mb = 256;
     s->header_bytes = 16384;
     if (!j) {
         return 0;
--- a/demo/mesh.sh
+++ b/demo/mesh.sh
@@ -61,7 +61,7 @@
  "instance": "$(addr "$1" instance)", "inbound": "$(addr "$1" inbound)",
  "outbound": "$(addr "$1" outbound)", "mesh": "$(addr "$1" mesh)",
  "peer": "$(addr "$1" peer)", "admin": "$(addr "$1" admin)",
- "log": "$LOG", "contacts": [$contacts],
+ "log": "$LOG", "contacts": [$contacts], ${NODE_SETTINGS:-}
  "mesh_token": "mesh-token-of-the-demo", "fault_drops": true,
  $KEYS,
  "tokens": [{"name": "demo", "token": "$TOKEN", "role": "change"},
@@ -86,7 +86,8 @@
     } >"$DIR/upstreams.json"
 }
 
-start_node() { run "$1" "$OUT/spnode" -c "$DIR/$1.json"; }
+# shellcheck disable=SC2086
+start_node() { run "$1" ${NODE_PREFIX:-} "$OUT/spnode" -c "$DIR/$1.json"; }
 
 # start_mesh DOCUMENT ROUTES: starts all programs, publishes the document and
 # waits until every node is ready
--- a/flow/exchange.c
+++ b/flow/exchange.c
@@ -109,6 +109,23 @@
     drop_moved(l, from);
 }
 
+void
+SpLedger_RemovePeer(SpLedger *l, const char *name)
+{
+    Source *s = g_hash_table_lookup(l->peers, name);
+    GHashTableIter it;
+    gpointer p;
+
+    if (!s) {
+        return;
+    }
+    g_hash_table_iter_init(&it, s->parts);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        settle_part(p);
+        ((Part *)p)->demand = ((Part *)p)->rate = ((Part *)p)->share = 0;
+    }
+}
+
 void
 SpLedger_Sums(const SpLedger *l, int64_t since, int full, GArray *out)
 {
--- a/flow/ledger.h
+++ b/flow/ledger.h
@@ -86,6 +86,9 @@
                       const SpQuotaSum *sums, guint n);
 /* Interval at which a ledger sends sums, if only empty ones. */
 #define SP_LEDGER_SUMS_US (200 * SP_MS)
+/* SpLedger_RemovePeer is called when a ledger says that it has no members any
+   more: they report elsewhere, and nothing is held for them. */
+void SpLedger_RemovePeer(SpLedger *l, const char *name);
 /* SpLedger_Sums appends the own sums that changed after since to out, an array
    of SpQuotaSum; without full only those of workspaces near their limit. */
 void SpLedger_Sums(const SpLedger *l, int64_t since, int full, GArray *out);
--- a/http/http.h
+++ b/http/http.h
@@ -18,12 +18,56 @@
 #include "base/base.h"
 
 /*
- * Memory for the bodies of messages, shared by a server and its pools. A body
- * may grow as long as what is then left of the limit is no less than its own
- * buffer, so that a few endless ones leave room for shorter ones.
+ * Account of the memory that a process holds for others, by kind. One bound
+ * covers all of it. Large parts are taken before they are held and may be
+ * refused; small ones are added in any case.
+ */
+typedef enum {
+    SP_HELD_CONNECTIONS,
+    SP_HELD_HEADS,   /* of requests and responses */
+    SP_HELD_BODIES,  /* of requests and responses, whole or in part */
+    SP_HELD_COPIES,  /* of bodies, for runs */
+    SP_HELD_ANSWERS, /* that clients have not taken yet */
+    SP_HELD_FRAMES,  /* messages of other relays, in part, and to them */
+    SP_HELD_NKINDS
+} SpHeldKind;
+
+typedef struct SpHeld {
+    size_t limit, used; /* bytes; limit 0: none */
+    size_t by_kind[SP_HELD_NKINDS];
+    /* Closes the connection of the client that costs the most for nothing in
+       that kind, or in all if k is SP_HELD_NKINDS; returns 0 if there is none.
+       NULL: nobody can be closed. */
+    int (*make_room)(void *ctx, SpHeldKind k);
+    void *ctx;
+} SpHeld;
+
+/* SpHeld_KindName returns the name of a kind in metrics. */
+const char *SpHeld_KindName(SpHeldKind k);
+/* SpHeld_Take takes n bytes, after it has made room if need be; returns 0 if
+   there is none. Large ones leave a part of the bound to small ones. h may be
+   NULL: no limit. */
+int SpHeld_Take(SpHeld *h, SpHeldKind k, size_t n);
+/* SpHeld_Add adds n bytes that are held in any case. */
+void SpHeld_Add(SpHeld *h, SpHeldKind k, size_t n);
+void SpHeld_Release(SpHeld *h, SpHeldKind k, size_t n);
+/* SpHeld_IsShort returns 1 if more than half of the bound is in use: what
+   costs nothing to hold back is held back. */
+int SpHeld_IsShort(const SpHeld *h);
+
+/* What is no larger is small: it may take the last of the memory. */
+#define SP_SMALL_BYTES ((size_t)64 << 10)
+
+/*
+ * Part of that memory for one kind, shared by a server and its pools if it is
+ * for bodies. A body may grow as long as what is then left of the limit is no
+ * less than its own buffer, so that a few endless ones leave room for shorter
+ * ones; one that is held alone may grow up to the limit.
  */
 typedef struct SpBodyMemory {
     size_t limit, used; /* bytes */
+    SpHeld *all;        /* NULL: none */
+    SpHeldKind kind;    /* there */
 } SpBodyMemory;
 
 /* SpBodyMemory_Take takes n bytes for a body that is held beside a message;
@@ -43,6 +87,7 @@
     char *body;
     size_t body_len;
     SpBodyMemory *memory; /* from which body was taken; NULL: no limit */
+    size_t head_held;     /* bytes of the account for the head */
 } SpMsg;
 
 void SpMsg_Free(SpMsg *m);
@@ -63,6 +108,21 @@
                           taken of a response */
 } SpHttpLimits;
 
+/* What a server may hold, in addition to the limits of a request. */
+typedef struct SpHttpOpts {
+    SpBodyMemory *bodies;  /* shared; NULL: no limit */
+    SpBodyMemory *answers; /* that clients have not taken; NULL: no limit */
+    int connections;       /* 0: no limit */
+} SpHttpOpts;
+
+/* Clients closed or turned away since the start. */
+typedef struct SpHttpCounts {
+    uint64_t closed_memory;      /* closed, since memory was needed */
+    uint64_t closed_descriptors; /* closed, since a new one came */
+    uint64_t turned_away;        /* new ones closed at once */
+    uint64_t answers_dropped;    /* answers without room, replaced by 502 */
+} SpHttpCounts;
+
 /*
  * Server.
  */
@@ -81,10 +141,14 @@
     void *ctx;
 } SpHttpHandler;
 
-/* memory is shared and may be NULL: no limit. A request whose body finds no
-   room gets status 503 and is not passed on. */
+/* A request whose body finds no room gets status 503 and is not passed on; an
+   answer that finds none is replaced by status 502. */
 SpHttpServer *SpHttpServer_New(uv_loop_t *loop, const SpHttpLimits *l,
-                               SpBodyMemory *memory);
+                               const SpHttpOpts *o);
+/* SpHttpServer_MakeRoom is the make_room of an account whose ctx is the
+   server. on_disconnect is called later, from the loop. */
+int SpHttpServer_MakeRoom(void *s, SpHeldKind k);
+SpHttpCounts SpHttpServer_Counts(const SpHttpServer *s);
 void SpHttpServer_SetLimits(SpHttpServer *s, const SpHttpLimits *l);
 /* SpHttpServer_Listen listens on "IP:port"; returns 0 and sets err on failure.
  */
@@ -101,6 +165,8 @@
 void SpHttpServer_CloseIdle(SpHttpServer *s);
 /* SpHttpServer_Connections returns the number of open connections. */
 int SpHttpServer_Connections(const SpHttpServer *s);
+/* SpHttpServer_MaxConnections returns the limit of them; 0: none. */
+int SpHttpServer_MaxConnections(const SpHttpServer *s);
 
 const SpMsg *SpHttpReq_Msg(const SpHttpReq *r);
 /* SpHttpReq_OpenedAt returns the time at which its connection was accepted. */
--- a/http/priv.h
+++ b/http/priv.h
@@ -25,7 +25,9 @@
     int has_value;
     int head_done; /* 1: the head of msg is complete */
     int skip_body;
+    int has_length; /* 1: the head of msg says the length of the body */
     size_t head_bytes, max_head, max_body;
+    size_t blank_bytes;   /* of empty lines before a message */
     SpBodyMemory *memory; /* for bodies; NULL: no limit */
     SpReadState state;
     /*
@@ -41,10 +43,48 @@
 /* SpMsgReader_Feed returns the number of bytes parsed; less than n if it
    stopped on an error or after a message. */
 size_t SpMsgReader_Feed(SpMsgReader *r, const char *p, size_t n);
+/* SpMsgReader_IsInMessage returns 1 if a message has been read in part, or
+   empty lines before one. */
+int SpMsgReader_IsInMessage(const SpMsgReader *r);
 /* SpMsgReader_End tells the parser that the peer closed the connection;
    returns 0 if that is within a message. */
 int SpMsgReader_End(SpMsgReader *r);
 
+/* SpBodyMemory_Grow takes the memory for a buffer that grows by more bytes to
+   needed in all, after it has made room if need be; returns 0 if there is
+   none. may_fill: 1 if it may take the whole limit when it is alone. */
+int SpBodyMemory_Grow(SpBodyMemory *b, size_t more, size_t needed,
+                      int may_fill);
+
+/*
+ * Bytes that a client has yet to take (out.c).
+ */
+typedef struct SpOut {
+    uv_stream_t *stream;
+    SpBodyMemory *memory;     /* of answers; NULL: no limit */
+    GQueue bufs;              /* of OutBuf */
+    struct SpOutChunk *chunk; /* being written; NULL: none */
+    size_t unsent;            /* bytes */
+    size_t held;              /* bytes of memory in bufs */
+    size_t moved;             /* bytes sent since began */
+    int64_t began;            /* since when there are unsent bytes */
+    int64_t moved_at;         /* when the last ones were sent */
+    void (*ready)(void *ctx); /* a chunk has been written: to be flushed */
+    void *ctx;
+} SpOut;
+
+/* SpOut_Take takes the memory for an answer; returns 0 if there is none. A
+   small one may be taken in any case. */
+int SpOut_Take(SpBodyMemory *b, size_t n, int always);
+/* SpOut_Push queues p, which it frees later; its memory has been taken. */
+void SpOut_Push(SpOut *o, char *p, size_t n);
+/* SpOut_Flush sends what the socket takes; returns 0 if it is broken. */
+int SpOut_Flush(SpOut *o);
+/* SpOut_Left returns the number of bytes that the socket has not taken. */
+size_t SpOut_Left(const SpOut *o);
+/* SpOut_Clear gives up all but the chunk being written. */
+void SpOut_Clear(SpOut *o);
+
 /* SpHttp_IsReadable returns 1 if bytes, a close or an error of the socket have
    not been read yet. */
 int SpHttp_IsReadable(const uv_handle_t *h);
--- a/http/reader.c
+++ b/http/reader.c
@@ -1,11 +1,23 @@
-/* Message parser and helpers shared by the server and the client. */
+/* Message parser of the server and the client. */
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
-#include <time.h>
 
 #include "http/priv.h"
 
+/* Memory of a message, with what its owner keeps of it, and of each of its
+   headers beside their text. */
+#define HEAD_BYTES ((size_t)5632)
+#define HEADER_BYTES ((size_t)96)
+/* Memory for a byte of text: in the reader, the message, and the copy that its
+   owner passes on, whose buffer doubles. */
+#define TEXT_COPIES 4
+/* Bytes of a header line beside name and value: the colon and the line end. */
+#define LINE_BYTES 3
+/* Empty lines that may follow a message without being the start of another. */
+#define TRAILING_BYTES 4
+/* Size up to which the buffers for heads are kept. */
+#define KEPT_HEAD_BYTES ((size_t)1 << 10)
+
 static SpMsgReader *
 reader_of(http_parser *p)
 {
@@ -25,28 +37,15 @@
     return capacity;
 }
 
-int
-SpBodyMemory_Take(SpBodyMemory *b, size_t n)
-{
-    if (b->used > b->limit || n > b->limit - b->used) {
-        return 0;
-    }
-    b->used += n;
-    return 1;
-}
-
-void
-SpBodyMemory_Release(SpBodyMemory *b, size_t n)
-{
-    b->used -= n;
-}
-
 void
 SpMsg_Free(SpMsg *m)
 {
     if (m) {
+        if (m->memory) {
+            SpHeld_Release(m->memory->all, SP_HELD_HEADS, m->head_held);
+        }
         if (m->memory && m->body) {
-            m->memory->used -= body_capacity(m->body_len);
+            SpBodyMemory_Release(m->memory, body_capacity(m->body_len));
         }
         g_free(m->body);
         SpArena_Free(m->arena);
@@ -66,6 +65,21 @@
     return NULL;
 }
 
+/* Counts n bytes for the head of the message being read; returns 0 if there is
+   no memory for them. */
+static int
+hold_head(SpMsgReader *r, size_t n)
+{
+    SpMsg *m = r->msg;
+
+    if (m->memory && !SpHeld_Take(m->memory->all, SP_HELD_HEADS, n)) {
+        r->state = SP_READ_NO_MEMORY;
+        return 0;
+    }
+    m->head_held += n;
+    return 1;
+}
+
 static int
 on_begin(http_parser *p)
 {
@@ -76,15 +90,18 @@
     r->msg->arena = a;
     r->msg->memory = r->memory;
     r->head_bytes = 0;
+    r->blank_bytes = 0;
     r->head_done = 0;
     r->has_value = 0;
     g_array_set_size(r->headers, 0);
     g_string_truncate(r->field, 0);
     g_string_truncate(r->value, 0);
     g_string_truncate(r->target, 0);
-    return 0;
+    return !hold_head(r, HEAD_BYTES);
 }
 
+/* Counts n bytes of the head. Returns 1 if they are too many, or there is no
+   memory for them. */
 static int
 count_head_bytes(SpMsgReader *r, size_t n)
 {
@@ -93,7 +110,7 @@
         r->state = SP_READ_HEAD_TOO_LARGE;
         return 1;
     }
-    return 0;
+    return !hold_head(r, TEXT_COPIES * n);
 }
 
 static int
@@ -105,13 +122,17 @@
     return count_head_bytes(r, n);
 }
 
-static void
+/* Returns 0 if there is no memory for the header. */
+static int
 finish_header(SpMsgReader *r)
 {
     SpHeader h;
 
     if (!r->has_value) {
-        return;
+        return 1;
+    }
+    if (!hold_head(r, HEADER_BYTES)) {
+        return 0;
     }
     h.name = SpArena_Dup(r->msg->arena, r->field->str, r->field->len);
     h.value = SpArena_Dup(r->msg->arena, r->value->str, r->value->len);
@@ -119,6 +140,7 @@
     g_string_truncate(r->field, 0);
     g_string_truncate(r->value, 0);
     r->has_value = 0;
+    return 1;
 }
 
 static int
@@ -126,9 +148,13 @@
 {
     SpMsgReader *r = reader_of(p);
 
-    finish_header(r);
+    int is_new = r->has_value || !r->field->len;
+
+    if (!finish_header(r)) {
+        return 1;
+    }
     g_string_append_len(r->field, s, (gssize)n);
-    return count_head_bytes(r, n);
+    return count_head_bytes(r, n + (is_new ? LINE_BYTES : 0));
 }
 
 static int
@@ -149,8 +175,11 @@
     size_t bytes;
     SpHeader *list;
 
-    finish_header(r);
+    if (!finish_header(r)) {
+        return -1;
+    }
     r->head_done = 1;
+    r->has_length = p->content_length != ULLONG_MAX;
     bytes = r->headers->len * sizeof(SpHeader);
     list = SpArena_Alloc(m->arena, bytes + 1);
     if (bytes) {
@@ -172,23 +201,22 @@
     return r->skip_body ? 1 : 0;
 }
 
-/* Takes the memory for a body of total bytes; returns 0 if there is none. */
+/* Takes the memory for a body of total bytes; returns 0 if there is none. An
+   answer that does not say its length may be one without end. */
 static int
-grow_body(SpMsg *m, size_t total)
+grow_body(const SpMsgReader *r, size_t total)
 {
+    SpMsg *m = r->msg;
     size_t held = m->body ? body_capacity(m->body_len) : 0;
     size_t needed = body_capacity(total);
-    SpBodyMemory *memory = m->memory;
+    int may_fill = r->p.type == HTTP_REQUEST || r->has_length;
 
     if (needed == held) {
         return 1;
     }
-    if (memory) {
-        size_t used = memory->used + needed - held;
-        if (used > memory->limit || needed > memory->limit - used) {
-            return 0;
-        }
-        memory->used = used;
+    if (m->memory &&
+        !SpBodyMemory_Grow(m->memory, needed - held, needed, may_fill)) {
+        return 0;
     }
     m->body = g_realloc(m->body, needed);
     return 1;
@@ -205,7 +233,7 @@
         r->state = SP_READ_BODY_TOO_LARGE;
         return 1;
     }
-    if (!grow_body(m, total)) {
+    if (!grow_body(r, total)) {
         r->state = SP_READ_NO_MEMORY;
         return 1;
     }
@@ -214,6 +242,28 @@
     return 0;
 }
 
+/* A large head leaves large buffers, which each connection would keep. */
+static void
+shrink(GString **s)
+{
+    if ((*s)->allocated_len > KEPT_HEAD_BYTES) {
+        g_string_free(*s, TRUE);
+        *s = g_string_new(NULL);
+    }
+}
+
+static void
+shrink_buffers(SpMsgReader *r)
+{
+    shrink(&r->field);
+    shrink(&r->value);
+    shrink(&r->target);
+    if (r->headers->len * sizeof(SpHeader) > KEPT_HEAD_BYTES) {
+        g_array_free(r->headers, TRUE);
+        r->headers = g_array_new(FALSE, FALSE, sizeof(SpHeader));
+    }
+}
+
 static int
 on_complete(http_parser *p)
 {
@@ -222,6 +272,7 @@
 
     r->msg = NULL;
     r->head_done = 0;
+    shrink_buffers(r);
     if (p->type == HTTP_RESPONSE && m->status / 100 == 1) {
         SpMsg_Free(m); /* interim response; the final one follows */
         return 0;
@@ -266,11 +317,28 @@
     g_array_free(r->headers, TRUE);
 }
 
+static size_t
+count_blank(const char *p, size_t n)
+{
+    size_t i = 0;
+
+    while (i < n && (p[i] == '\r' || p[i] == '\n')) {
+        i++;
+    }
+    return i;
+}
+
 size_t
 SpMsgReader_Feed(SpMsgReader *r, const char *p, size_t n)
 {
-    size_t consumed = http_parser_execute(&r->p, &callbacks, p, n);
-    enum http_errno e = HTTP_PARSER_ERRNO(&r->p);
+    size_t consumed;
+    enum http_errno e;
+
+    if (!r->msg) {
+        r->blank_bytes += count_blank(p, n);
+    }
+    consumed = http_parser_execute(&r->p, &callbacks, p, n);
+    e = HTTP_PARSER_ERRNO(&r->p);
 
     if (e == HPE_PAUSED) {
         http_parser_pause(&r->p, 0);
@@ -279,9 +347,19 @@
         r->state = e == HPE_HEADER_OVERFLOW ? SP_READ_HEAD_TOO_LARGE
                                             : SP_READ_INVALID;
     }
+    else if (e == HPE_OK && r->p.type == HTTP_REQUEST &&
+             r->blank_bytes > r->max_head) {
+        r->state = SP_READ_HEAD_TOO_LARGE;
+    }
     return consumed;
 }
 
+int
+SpMsgReader_IsInMessage(const SpMsgReader *r)
+{
+    return r->msg || r->blank_bytes > TRAILING_BYTES;
+}
+
 int
 SpMsgReader_End(SpMsgReader *r)
 {
@@ -292,149 +370,3 @@
     /* the end of the connection may complete a message, which pauses */
     return (e == HPE_OK || e == HPE_PAUSED) && !r->msg;
 }
-
-/*
- * Helpers of the server and the client.
- */
-
-void
-SpHttp_Alloc(uv_handle_t *h, size_t hint, uv_buf_t *buf)
-{
-    static char read_buf[SP_HTTP_READ_BYTES];
-
-    (void)h;
-    (void)hint;
-    *buf = uv_buf_init(read_buf, sizeof read_buf);
-}
-
-typedef struct PendingWrite {
-    uv_write_t req;
-    char *p;
-} PendingWrite;
-
-static void
-on_written(uv_write_t *req, int status)
-{
-    PendingWrite *w = (PendingWrite *)req;
-
-    (void)status; /* the read callback reports a broken connection */
-    g_free(w->p);
-    g_free(w);
-}
-
-ssize_t
-SpHttp_Write(uv_stream_t *s, char *p, size_t n)
-{
-    uv_buf_t buf = uv_buf_init(p, (unsigned)n);
-    ssize_t sent = 0;
-    PendingWrite *w;
-    int e;
-
-    if (uv_stream_get_write_queue_size(s) == 0) {
-        sent = uv_try_write(s, &buf, 1);
-        if (sent < 0 && sent != UV_EAGAIN) {
-            g_free(p);
-            return sent;
-        }
-        sent = MAX(sent, 0);
-    }
-    if ((size_t)sent == n) {
-        g_free(p);
-        return sent;
-    }
-    w = g_new(PendingWrite, 1);
-    w->p = p;
-    buf = uv_buf_init(p + sent, (unsigned)(n - (size_t)sent));
-    e = uv_write(&w->req, s, &buf, 1, on_written);
-    if (e < 0) {
-        g_free(p);
-        g_free(w);
-        return sent ? sent : e;
-    }
-    return sent;
-}
-
-int
-SpHttp_IsReadable(const uv_handle_t *h)
-{
-    uv_os_fd_t fd;
-    char b;
-    ssize_t n;
-
-    if (uv_fileno(h, &fd) != 0) {
-        return 1;
-    }
-    n = recv(fd, &b, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
-int64_t
-SpHttp_Now(void)
-{
-    struct timespec t;
-
-    /* unlike CLOCK_MONOTONIC, it advances while the machine is suspended */
-    clock_gettime(CLOCK_BOOTTIME, &t);
-    return (int64_t)t.tv_sec * SP_SEC + t.tv_nsec / 1000;
-}
-
-int
-SpHttp_ParseAddr(const char *s, struct sockaddr_in *sa)
-{
-    char ip[64];
-    int port;
-
-    return SpParse_Addr(s, ip, sizeof ip, &port) &&
-           uv_ip4_addr(ip, port, sa) == 0;
-}
-
-int
-SpHttp_ListenTcp(uv_loop_t *loop, uv_tcp_t *tcp, const char *addr, int backlog,
-                 uv_connection_cb cb, GError **err)
-{
-    struct sockaddr_in sa;
-    int e = UV_EINVAL;
-
-    uv_tcp_init(loop, tcp);
-    if (SpHttp_ParseAddr(addr, &sa)) {
-        e = uv_tcp_bind(tcp, (const struct sockaddr *)&sa, 0);
-    }
-    if (e == 0) {
-        e = uv_listen((uv_stream_t *)tcp, backlog, cb);
-    }
-    if (e != 0) {
-        g_set_error(err, SP_ERROR, SP_ERROR_SYSTEM, "cannot listen on %s: %s",
-                    addr, uv_strerror(e));
-    }
-    return e == 0;
-}
-
-const char *
-SpHttp_Reason(int status)
-{
-    switch (status) {
-#define REASON(num, name, text)                                               \
-    case num:                                                                 \
-        return #text;
-        HTTP_STATUS_MAP(REASON)
-#undef REASON
-    default:
-        return "Status";
-    }
-}
-
-int
-SpHttp_IsHopByHop(const char *name)
-{
-    static const char *const names[] = {
-        "connection", "keep-alive", "proxy-connection",  "te",
-        "trailer",    "upgrade",    "transfer-encoding", "content-length"};
-    size_t i;
-
-    for (i = 0; i < G_N_ELEMENTS(names); i++) {
-        if (strcasecmp(name, names[i]) == 0) {
-            return 1;
-        }
-    }
-    return 0;
-}
--- a/http/server.c
+++ b/http/server.c
@@ -5,89 +5,60 @@
  * dropped at the end of the turn of the loop, so that SpHttpReq_Respond never
  * calls on_disconnect: its caller may be in the middle of a list of requests.
  */
-#include <poll.h>
 #include <string.h>
 
-#include "http/priv.h"
+#include "http/conn.h"
 
 /* Requests of one connection that may be pending before reading pauses. */
 #define MAX_PIPELINE 64
-/* Time for the client to close a connection after it has taken the last
-   response. */
-#define LINGER_US (1 * SP_SEC)
-/* Time for the first or next request of a connection to arrive before
-   SpHttpServer_CloseIdle takes the connection as idle. */
-#define CLOSE_IDLE_US (200 * SP_MS)
 #define BACKLOG 1024
+/* Room for the head of a response beside its header lines. */
+#define RESPONSE_BYTES ((size_t)256)
+/* An answer up to this size is always held: its request took more. */
+#define SMALL_ANSWER_BYTES ((size_t)4 << 10)
 /* Reading that has paused does not resume while this many bytes of responses
    are unsent. */
 #define MAX_UNSENT_BYTES ((size_t)1 << 20)
 
-typedef struct Listener {
-    uv_tcp_t tcp;
-    SpHttpServer *s;
-    SpHttpHandler h;
-} Listener;
-
-typedef struct Conn {
-    uv_tcp_t tcp;
-    uv_shutdown_t shutdown_req;
-    SpHttpServer *s;
-    Listener *l;
-    SpMsgReader r;
-    GQueue reqs; /* of SpHttpReq, oldest first */
-    int64_t opened_at;
-    int64_t since;  /* start of the idle time or of the head being read, or
-                       time of the last bytes of the body being read */
-    int in_message; /* a request has been read in part */
-    int closing;    /* no further request is accepted */
-    int write_shut; /* the write side is shut down, or dropped is set */
-    int broken;     /* to be dropped at the end of the turn */
-    int dropped;    /* the handle is closing */
-    int read_paused;
-    size_t unsent;   /* bytes of responses that the socket has not accepted */
-    int64_t sent_at; /* when unsent last changed, or the write side was shut */
-} Conn;
-
-struct SpHttpReq {
-    Conn *c;
-    SpMsg *msg;
-    void *data;
-    int responded;
-    char *out;
-    size_t out_len;
-};
-
-struct SpHttpServer {
-    uv_loop_t *loop;
-    SpHttpLimits limits;
-    SpBodyMemory *memory;
-    GPtrArray *conns;         /* of Conn */
-    GPtrArray *broken;        /* of Conn */
-    uv_prepare_t end_of_turn; /* active while there are broken connections */
-    int draining;
-};
-
-static void send_responses(Conn *c);
+void
+drop_out(SpHttpReq *r)
+{
+    if (!r->out) {
+        return;
+    }
+    r->c->ready -= r->out_len;
+    if (r->c->out.memory) {
+        SpBodyMemory_Release(r->c->out.memory, r->out_len);
+    }
+    g_free(r->out);
+    r->out = NULL;
+}
 
 static void
 free_req(SpHttpReq *r)
 {
+    drop_out(r);
     SpMsg_Free(r->msg);
-    g_free(r->out);
     g_free(r);
 }
 
+static SpHeld *
+held_by(const SpHttpServer *s)
+{
+    return s->o.bodies ? s->o.bodies->all : NULL;
+}
+
 static void
 on_closed(uv_handle_t *h)
 {
     Conn *c = h->data;
 
     SpMsgReader_Clear(&c->r);
+    SpHeld_Release(held_by(c->s), SP_HELD_CONNECTIONS, SP_CONN_BYTES);
     g_free(c);
 }
 
-static void
+void
 drop_conn(Conn *c)
 {
     SpHttpReq *r;
@@ -105,6 +76,7 @@
         }
         free_req(r);
     }
+    SpOut_Clear(&c->out);
     g_ptr_array_remove_fast(c->s->conns, c);
     uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
@@ -120,7 +92,7 @@
     uv_prepare_stop(p);
 }
 
-static void
+void
 mark_broken(Conn *c)
 {
     if (c->broken || c->dropped) {
@@ -157,58 +129,66 @@
 
 static void on_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf);
 
-static void
+/* Returns 1 if no more requests are read ahead: the client has sent many, or
+   memory is short. */
+static int
+has_enough(const Conn *c)
+{
+    return c->reqs.length >= MAX_PIPELINE ||
+           (c->reqs.length && SpHeld_IsShort(held_by(c->s)));
+}
+
+void
 resume_reading(Conn *c)
 {
-    if (c->read_paused && !c->broken && !c->dropped &&
-        c->reqs.length < MAX_PIPELINE &&
-        uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp) <
-            MAX_UNSENT_BYTES) {
+    if (c->read_paused && !c->broken && !c->dropped && !has_enough(c) &&
+        c->out.unsent < MAX_UNSENT_BYTES) {
         c->read_paused = 0;
         uv_read_start((uv_stream_t *)&c->tcp, SpHttp_Alloc, on_read);
     }
 }
 
-/* Sends, in one write, the responses that are next in request order. */
-static void
+/* Sends the responses that are next in request order. */
+void
 send_responses(Conn *c)
 {
-    GString *out = NULL;
     SpHttpReq *r;
-    size_t n;
 
     if (c->broken || c->dropped) {
         return;
     }
     while ((r = g_queue_peek_head(&c->reqs)) != NULL && r->responded) {
         g_queue_pop_head(&c->reqs);
-        if (!out) {
-            out = g_string_sized_new(r->out_len + 1);
-        }
-        g_string_append_len(out, r->out, (gssize)r->out_len);
+        c->since = SpHttp_Now();
+        c->ready -= r->out_len;
+        SpOut_Push(&c->out, r->out, r->out_len);
+        r->out = NULL;
         free_req(r);
     }
-    if (out) {
-        n = out->len;
-        if (SpHttp_Write((uv_stream_t *)&c->tcp, g_string_free(out, FALSE),
-                         n) < 0) {
-            mark_broken(c);
-            return;
-        }
-        c->since = SpHttp_Now();
+    if (!SpOut_Flush(&c->out)) {
+        mark_broken(c);
+        return;
     }
     if (c->closing && g_queue_is_empty(&c->reqs)) {
-        shutdown_conn(c);
+        if (!c->out.unsent) {
+            shutdown_conn(c);
+        }
         return;
     }
     resume_reading(c);
 }
 
+static void
+on_out_ready(void *ctx)
+{
+    send_responses(ctx);
+}
+
 static void
 build_response(SpHttpReq *r, int status, const char *lines, const char *body,
                size_t n, int close)
 {
-    GString *s = g_string_sized_new(256 + n);
+    GString *s = g_string_sized_new(RESPONSE_BYTES + n);
     int no_body = status == 204 || status == 304 || status / 100 == 1;
 
     g_string_append_printf(s, "HTTP/1.1 %d %s\r\n%s", status,
@@ -222,7 +202,28 @@
     }
     r->out_len = s->len;
     r->out = g_string_free(s, FALSE);
-    r->responded = 1;
+    r->c->ready += r->out_len;
+}
+
+/* Takes the memory for the response, and builds it. Returns 0 if there is
+   none. */
+static int
+hold_response(SpHttpReq *r, int status, const char *lines, const char *body,
+              size_t n, int close)
+{
+    SpBodyMemory *memory = r->c->out.memory;
+    size_t taken = RESPONSE_BYTES + strlen(lines) + n;
+
+    if (!SpOut_Take(memory, taken, n <= SMALL_ANSWER_BYTES)) {
+        return 0;
+    }
+    if (!r->c->broken) {
+        build_response(r, status, lines, body, n, close);
+    }
+    if (memory) {
+        SpBodyMemory_Release(memory, taken - r->out_len);
+    }
+    return 1;
 }
 
 void
@@ -235,19 +236,23 @@
     if (!r->msg->keep_alive || (c->s->draining && last)) {
         c->closing = 1;
     }
-    build_response(r, status, lines, body, n, c->closing && last);
+    if (!hold_response(r, status, lines, body, n, c->closing && last)) {
+        c->s->counts.answers_dropped++;
+        (void)hold_response(r, 502, "", "", 0, c->closing && last);
+    }
+    r->responded = 1;
     send_responses(c);
 }
 
-/* Queues an error response to an unreadable request and closes after it. */
-static void
+void
 reject(Conn *c, int status, const char *lines)
 {
     SpHttpReq *r = g_new0(SpHttpReq, 1);
 
     r->c = c;
     c->closing = 1;
-    build_response(r, status, lines, "", 0, 1);
+    (void)hold_response(r, status, lines, "", 0, 1);
+    r->responded = 1;
     g_queue_push_tail(&c->reqs, r);
 }
 
@@ -258,7 +263,9 @@
     SpHttpReq *r;
 
     c->in_message = 0;
-    c->since = SpHttp_Now();
+    c->read_bytes = 0;
+    c->served = 1;
+    c->since = c->began = SpHttp_Now();
     if (c->closing) {
         SpMsg_Free(m);
         return 0;
@@ -298,6 +305,20 @@
     }
 }
 
+static void
+note_read(Conn *c, size_t n)
+{
+    c->read_at = SpHttp_Now();
+    if (!c->in_message) {
+        c->began = c->read_at;
+        c->read_bytes = 0;
+    }
+    if (!c->in_message || c->r.head_done) {
+        c->since = c->read_at;
+    }
+    c->read_bytes += n;
+}
+
 static void
 on_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf)
 {
@@ -313,13 +334,13 @@
     if (c->closing) {
         return; /* data after the last request is discarded */
     }
-    if ((!c->in_message && !c->r.msg) || c->r.head_done) {
-        c->since = SpHttp_Now();
-    }
+    note_read(c, (size_t)n);
+    c->s->reading = c;
     SpMsgReader_Feed(&c->r, buf->base, (size_t)n);
-    c->in_message = c->r.msg != NULL;
+    c->s->reading = NULL;
+    c->in_message = SpMsgReader_IsInMessage(&c->r);
     check_reader(c);
-    if (c->reqs.length >= MAX_PIPELINE) {
+    if (has_enough(c)) {
         c->read_paused = 1;
         uv_read_stop(st);
     }
@@ -327,29 +348,68 @@
 }
 
 static void
-on_connection(uv_stream_t *st, int status)
+on_turned_away(uv_handle_t *h)
 {
-    Listener *l = st->data;
-    Conn *c;
+    g_free(h);
+}
 
-    if (status < 0) {
-        SpLog(SP_LOG_WARN, "accept-failed", "why=\"%s\"", uv_strerror(status));
-        return;
-    }
-    c = g_new0(Conn, 1);
-    c->s = l->s;
+/* Closes a new connection: nothing of it has been read. */
+static void
+turn_away(SpHttpServer *s, uv_stream_t *st)
+{
+    uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
+
+    s->counts.turned_away++;
+    uv_tcp_init(s->loop, tcp);
+    (void)uv_accept(st, (uv_stream_t *)tcp);
+    uv_close((uv_handle_t *)tcp, on_turned_away);
+}
+
+static Conn *
+new_conn(Listener *l)
+{
+    Conn *c = g_new0(Conn, 1);
+    SpHttpServer *s = l->s;
+
+    c->s = s;
     c->l = l;
-    uv_tcp_init(l->s->loop, &c->tcp);
+    uv_tcp_init(s->loop, &c->tcp);
     c->tcp.data = c;
     SpMsgReader_Init(&c->r, HTTP_REQUEST);
     c->r.done = on_message;
     c->r.ctx = c;
-    c->r.max_head = l->s->limits.header_bytes;
-    c->r.max_body = l->s->limits.body_bytes;
-    c->r.memory = l->s->memory;
+    c->r.max_head = s->limits.header_bytes;
+    c->r.max_body = s->limits.body_bytes;
+    c->r.memory = s->o.bodies;
+    c->out.stream = (uv_stream_t *)&c->tcp;
+    c->out.memory = s->o.answers;
+    c->out.ready = on_out_ready;
+    c->out.ctx = c;
+    g_queue_init(&c->out.bufs);
     c->since = c->opened_at = SpHttp_Now();
     g_queue_init(&c->reqs);
-    g_ptr_array_add(l->s->conns, c);
+    g_ptr_array_add(s->conns, c);
+    SpHeld_Add(held_by(s), SP_HELD_CONNECTIONS, SP_CONN_BYTES);
+    return c;
+}
+
+static void
+on_connection(uv_stream_t *st, int status)
+{
+    Listener *l = st->data;
+    SpHttpServer *s = l->s;
+    Conn *c;
+
+    if (status < 0) {
+        SpLog(SP_LOG_WARN, "accept-failed", "why=\"%s\"", uv_strerror(status));
+        return;
+    }
+    if (s->o.connections && s->conns->len >= (guint)s->o.connections &&
+        !make_descriptor(s)) {
+        turn_away(s, st);
+        return;
+    }
+    c = new_conn(l);
     if (uv_accept(st, (uv_stream_t *)&c->tcp) != 0) {
         drop_conn(c);
         return;
@@ -359,13 +419,13 @@
 }
 
 SpHttpServer *
-SpHttpServer_New(uv_loop_t *loop, const SpHttpLimits *l, SpBodyMemory *memory)
+SpHttpServer_New(uv_loop_t *loop, const SpHttpLimits *l, const SpHttpOpts *o)
 {
     SpHttpServer *s = g_new0(SpHttpServer, 1);
 
     s->loop = loop;
     s->limits = *l;
-    s->memory = memory;
+    s->o = *o;
     s->conns = g_ptr_array_new();
     s->broken = g_ptr_array_new();
     uv_prepare_init(loop, &s->end_of_turn);
@@ -404,130 +464,6 @@
     return 1;
 }
 
-/* Returns 1 while the client has not yet taken what was sent to it. */
-static int
-is_sending(Conn *c, int64_t now)
-{
-    size_t unsent = uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp);
-
-    if (unsent != c->unsent) {
-        c->unsent = unsent;
-        c->sent_at = now;
-    }
-    return unsent > 0;
-}
-
-/* Returns 1 if the client has closed, also while bytes before the close have
-   not been read. */
-static int
-has_client_left(const Conn *c)
-{
-    uv_os_fd_t fd;
-    struct pollfd p = {.events = POLLRDHUP};
-
-    if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0) {
-        return 1;
-    }
-    p.fd = fd;
-    return poll(&p, 1, 0) > 0;
-}
-
-/* Looks at a connection that is not being read because too many of its
-   requests are pending. */
-static void
-check_paused(Conn *c)
-{
-    if (has_client_left(c)) {
-        drop_conn(c);
-        return;
-    }
-    resume_reading(c);
-}
-
-static void
-check_timeouts(Conn *c, const SpHttpLimits *limits, int64_t now)
-{
-    if (is_sending(c, now)) {
-        if (now - c->sent_at > limits->idle_us) {
-            drop_conn(c);
-        }
-        return;
-    }
-    if (c->write_shut) {
-        if (now - c->sent_at > LINGER_US) {
-            drop_conn(c);
-        }
-        return;
-    }
-    if (!g_queue_is_empty(&c->reqs)) {
-        return;
-    }
-    if (c->in_message &&
-        now - c->since >
-            (c->r.head_done ? limits->idle_us : limits->header_us)) {
-        reject(c, 408, "");
-        send_responses(c);
-    }
-    else if (!c->in_message &&
-             now - MAX(c->since, c->sent_at) > limits->idle_us) {
-        c->closing = 1;
-        shutdown_conn(c);
-    }
-}
-
-void
-SpHttpServer_Tick(SpHttpServer *s, int64_t now)
-{
-    guint i;
-
-    for (i = s->conns->len; i > 0; i--) {
-        Conn *c = g_ptr_array_index(s->conns, i - 1);
-        if (c->read_paused) {
-            check_paused(c);
-        }
-        if (!c->dropped) {
-            check_timeouts(c, &s->limits, now);
-        }
-    }
-}
-
-void
-SpHttpServer_Drain(SpHttpServer *s)
-{
-    s->draining = 1;
-}
-
-/* Returns 1 if nothing was sent for CLOSE_IDLE_US after the connection was
-   opened or its last response was taken. */
-static int
-is_idle(const Conn *c, int64_t now)
-{
-    return !c->reqs.length && !c->in_message && !c->write_shut &&
-           now - MAX(c->since, c->sent_at) > CLOSE_IDLE_US &&
-           !SpHttp_IsReadable((const uv_handle_t *)&c->tcp);
-}
-
-void
-SpHttpServer_CloseIdle(SpHttpServer *s)
-{
-    int64_t now = SpHttp_Now();
-    guint i;
-
-    for (i = s->conns->len; i > 0; i--) {
-        Conn *c = g_ptr_array_index(s->conns, i - 1);
-        if (is_idle(c, now)) {
-            c->closing = 1;
-            shutdown_conn(c);
-        }
-    }
-}
-
-int
-SpHttpServer_Connections(const SpHttpServer *s)
-{
-    return (int)s->conns->len;
-}
-
 const SpMsg *
 SpHttpReq_Msg(const SpHttpReq *r)
 {
--- a/node/spnode.c
+++ b/node/spnode.c
@@ -9,6 +9,8 @@
 #define VERSION "0.1.0"
 /* Longest graceful stop while there is no configuration to set one. */
 #define DEFAULT_STOP_MS 15000
+/* Requests that are being read may take one part in this many of memory_mb. */
+#define REQUESTS_SHARE 3
 /* A drained node exits no earlier than this after it announced the stop, so
    that other nodes learn of it before the listeners close. */
 #define NOTICE_US (1500 * SP_MS)
@@ -134,7 +136,8 @@
 start_node(Node *n, GError **err)
 {
     SpWebOpts wo = {SP_DOC_BYTES * 2, (size_t)n->set.header_bytes,
-                    n->set.idle_ms, n->set.max_connections};
+                    n->set.idle_ms, n->set.max_connections,
+                    ((size_t)n->set.memory_mb << 20) / REQUESTS_SHARE};
 
     n->web = SpWeb_New(n->loop, &wo);
     n->core = make_core(n);
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -36,9 +36,9 @@
                     of a workspace, offered, admitted, demand */
     FRAME_WORDS, /* number of the report that it answers or 0, list of: key,
                     fraction, share, wait in milliseconds */
-    FRAME_SUMS,  /* start of the sender, 1 if full, list of: key, admitted,
-                    demand, offered, part held, level; list of the keys of
-                    its members */
+    FRAME_SUMS,  /* start of the sender, kind (relay/sums.c), list of: key,
+                    admitted,  demand, offered, part held, level; list of the
+                    keys of  its members */
     FRAME_NTYPES
 } FrameType;
 
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -93,6 +93,7 @@
     }
     g_free(j->body_copy);
     SpBodyMemory_Release(&j->n->job_memory, j->held);
+    SpHeld_Release(&j->n->held, SP_HELD_COPIES, j->sent);
     g_free(j);
 }
 
--- a/relay/link.c
+++ b/relay/link.c
@@ -10,9 +10,6 @@
 /* Maximum delay between attempts to connect. */
 #define BACKOFF_MAX_US (2 * SP_SEC)
 #define BACKLOG 512
-/* A receive buffer that has grown beyond this is freed when it is empty, and a
-   message beyond it counts against link_memory until it is complete. */
-#define KEPT_BYTES ((guint)256 << 10)
 
 static int handle_frame(void *ctx, FrameType type, FrameIn *f);
 
@@ -80,41 +77,13 @@
     f->count = &conn->n->links->sent[type];
 }
 
-static void
-release_reserved(LinkConn *conn)
-{
-    SpBodyMemory_Release(&conn->n->link_memory, conn->reserved);
-    conn->reserved = 0;
-}
-
-/* Reserves memory for the whole message that has begun to arrive, so that the
-   messages that have it are completed and give it back. Returns 0 if there is
-   none now. One that is larger than the limit is received alone. */
-static int
-reserve_for_message(LinkConn *conn)
-{
-    SpBodyMemory *m = &conn->n->link_memory;
-    size_t n = incomplete_frame(conn->in);
-
-    if (conn->reserved == n || n <= KEPT_BYTES) {
-        return 1;
-    }
-    if (!SpBodyMemory_Take(m, n)) {
-        if (m->used) {
-            return 0;
-        }
-        m->used = n;
-    }
-    conn->reserved = n;
-    return 1;
-}
-
 /* Closes the socket and drops the jobs of its calls. */
 static void
 end_conn(LinkConn *conn)
 {
     conn->closing = 1;
     release_reserved(conn);
+    count_unsent(conn);
     g_ptr_array_remove_fast(conn->n->links->conns, conn);
     /* reset, so that data still in flight is discarded and not delivered after
        the calls have ended */
@@ -188,10 +157,13 @@
 
 static void on_conn_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf);
 
+/* Answers give memory back, so they are read also while it is short for calls.
+ */
 static int
 has_room(LinkConn *conn)
 {
-    return !is_memory_short(conn->n) && reserve_for_message(conn);
+    return (conn->peer || !is_memory_short(conn->n)) &&
+           reserve_for_message(conn);
 }
 
 /* While a link is held, nothing can be heard on it. */
@@ -216,7 +188,7 @@
 static void
 shrink_received(LinkConn *conn)
 {
-    if (conn->in_peak <= KEPT_BYTES || conn->in->len) {
+    if (conn->in_peak <= SP_LINK_KEPT_BYTES || conn->in->len) {
         return;
     }
     g_byte_array_unref(conn->in);
@@ -243,7 +215,7 @@
         return;
     }
     shrink_received(conn);
-    if (conn->closing || conn->peer) {
+    if (conn->closing) {
         return;
     }
     if (incomplete_frame(conn->in) != conn->reserved) {
@@ -278,12 +250,14 @@
 {
     gsize n = conn->out->len;
 
-    if (!conn->connected || conn->closing || n == 0) {
-        return;
+    if (conn->connected && !conn->closing && n) {
+        /* an error is also reported to the reader, which closes the link */
+        (void)SpHttp_Write((uv_stream_t *)&conn->tcp,
+                           (char *)g_byte_array_steal(conn->out, NULL), n);
+    }
+    if (n || conn->counted) {
+        count_unsent(conn);
     }
-    /* an error is also reported to the reader, which closes the link */
-    (void)SpHttp_Write((uv_stream_t *)&conn->tcp,
-                       (char *)g_byte_array_steal(conn->out, NULL), n);
 }
 
 void
--- a/relay/link.h
+++ b/relay/link.h
@@ -7,6 +7,7 @@
  * outcome of its calls is unknown.
  *
  *   link.c    connections
+ *   linkmem.c their memory
  *   peers.c   table of the other relays, and which of them are linked
  *   gossip.c  exchange of the directory of members
  *   contacts.c  the first nodes of each zone
@@ -39,7 +40,8 @@
     Peer *peer; /* NULL if the other side opened the connection */
     GByteArray *in, *out;
     guint in_peak;    /* greatest length of in since it was made */
-    size_t reserved;  /* bytes of link_memory for the message in in */
+    size_t reserved;  /* bytes of memory for the message in in */
+    size_t counted;   /* unsent bytes in the account */
     int held;         /* 1: it is not read, since memory for bodies is short */
     GHashTable *jobs; /* on the serving side: seq to Job */
     int connected, closing;
@@ -112,6 +114,23 @@
 /* is_suspect: 1 if the link has been silent for too long. */
 int is_suspect(const LinkConn *conn, int64_t now);
 
+/* linkmem.c */
+/* A receive buffer that has grown beyond this is freed when it is empty, and a
+   message beyond it counts against the memory for messages until it is
+   complete. */
+#define SP_LINK_KEPT_BYTES ((guint)256 << 10)
+/* count_unsent brings the account up to the bytes that wait to be sent. */
+void count_unsent(LinkConn *conn);
+/* reserve_for_message reserves memory for the whole message that has begun to
+   arrive, so that the messages that have it are completed and give it back.
+   Returns 0 if there is none now. One that is larger than the limit is
+   received alone. */
+int reserve_for_message(LinkConn *conn);
+void release_reserved(LinkConn *conn);
+/* has_room_to_send returns 1 if n more bytes may wait to be sent on the link.
+ */
+int has_room_to_send(LinkConn *conn, size_t n);
+
 /* peers.c */
 void set_peer_service(Peer *p, const char *service);
 /* find_peer returns NULL if no link to addr was ever wanted. */
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -9,6 +9,28 @@
     g_string_append_printf(s, "sp_%s %.10g\n", name, v);
 }
 
+static void
+put_held(GString *s, const Relay *n)
+{
+    SpHttpCounts c = SpHttpServer_Counts(n->http);
+    int k;
+
+    for (k = 0; k < SP_HELD_NKINDS; k++) {
+        g_string_append_printf(s, "sp_held_bytes{kind=\"%s\"} %zu\n",
+                               SpHeld_KindName((SpHeldKind)k),
+                               n->held.by_kind[k]);
+    }
+    put(s, "held_limit_bytes", (double)n->held.limit);
+    put(s, "client_connections_limit", SpHttpServer_MaxConnections(n->http));
+    g_string_append_printf(s,
+                           "sp_clients_closed_total{why=\"memory\"} %" PRIu64
+                           "\nsp_clients_closed_total{why=\"descriptors\"} "
+                           "%" PRIu64 "\n",
+                           c.closed_memory, c.closed_descriptors);
+    put(s, "clients_turned_away_total", (double)c.turned_away);
+    put(s, "answers_without_memory_total", (double)c.answers_dropped);
+}
+
 static void
 put_state(GString *s, const Relay *n)
 {
@@ -27,6 +49,7 @@
     put(s, "workspaces_tracked", SpFairShare_Tracked(n->fair));
     put(s, "client_connections", SpHttpServer_Connections(n->http));
     put(s, "ready", is_relay_ready(n));
+    put_held(s, n);
     put(s, "body_memory_bytes", (double)n->body_memory.used);
     put(s, "body_memory_limit_bytes", (double)n->body_memory.limit);
     put(s, "job_memory_bytes", (double)n->job_memory.used);
--- a/relay/quota.c
+++ b/relay/quota.c
@@ -108,10 +108,11 @@
         }
         up_at = p->conn->up_at;
     }
-    return !q->coordinator[0] || strcmp(name, q->coordinator) == 0 ||
-                   now - up_at > SETTLE_US
-               ? p || may_coordinate_itself(n)
-               : 0;
+    if (q->coordinator[0] && strcmp(name, q->coordinator) != 0 &&
+        now - up_at <= SETTLE_US) {
+        return 0;
+    }
+    return p || may_coordinate_itself(n);
 }
 
 /* A coordinator that does not answer although its link is up may stand still,
--- a/relay/quotas.h
+++ b/relay/quotas.h
@@ -9,6 +9,7 @@
     SpQuota *quota;
     SpLedger *ledger;   /* NULL unless this node is a contact of its zone or
                            others report to it */
+    int is_used;        /* 1: the ledger has members */
     GHashTable *limits; /* key to LoggedLimit */
     char coordinator[SP_FLOW_NAME]; /* empty: none */
     int64_t coordinator_at;         /* since when */
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -11,6 +11,7 @@
  *   check.c     status checks of the local instance
  *   fair.c      fair shares between workspaces
  *   link.c      connections to the other relays (link.h: shared definitions)
+ *   linkmem.c   the memory that they use
  *   peers.c     table of the other relays, and which of them are linked
  *   gossip.c    exchange of the directory of members between relays
  *   state.c     exchange of state and configuration between relays
@@ -61,7 +62,8 @@
     double retry_ratio, retry_slack, retry_window_s;
     char log_level[16];
     double memory_mb; /* memory that the process may use */
-    int first_start;  /* 1: all nodes start for the first time, together */
+    int max_fds; /* descriptors that it may open; 0: what the system allows */
+    int first_start; /* 1: all nodes start for the first time, together */
 } SpRelaySettings;
 
 /* SpRelaySettings_Load adds problems to ps and returns 0 if there are any. */
@@ -122,6 +124,7 @@
     char *body_copy; /* copy of the body; NULL if the owner keeps it, or once
                         it is on its way to the instance */
     size_t held;     /* bytes taken from job_memory until the job ends */
+    size_t sent;     /* bytes of a body that only its connection copied */
     /* called once, unless the job is dropped first; then the job is freed */
     void (*done)(struct Job *j, const Result *r);
     void *owner;
@@ -184,11 +187,15 @@
     const SpAdapter *adapter;
     uv_loop_t *loop;
     SpHttpServer *http;
-    SpBodyMemory body_memory; /* of http and pool */
-    SpBodyMemory job_memory;  /* of bodies copied for jobs */
-    SpBodyMemory link_memory; /* of large messages that links are receiving */
-    SpPool *pool;             /* connections to the local instance */
-    SpExchange *check;        /* status check in progress */
+    SpHeld held;               /* all that is held for others */
+    SpBodyMemory body_memory;  /* of http and pool */
+    SpBodyMemory job_memory;   /* of bodies copied for jobs */
+    SpBodyMemory link_memory;  /* of large messages that links are receiving */
+    SpBodyMemory reply_memory; /* the same of answers of other relays */
+    SpBodyMemory frame_memory; /* of messages that wait to be sent on links */
+    SpBodyMemory answer_memory; /* of answers that clients have not taken */
+    SpPool *pool;               /* connections to the local instance */
+    SpExchange *check;          /* status check in progress */
     int64_t check_at; /* time-out of that check, or time of the next one */
     SpRoutes *routes;
     Instance inst;
--- a/relay/remote.c
+++ b/relay/remote.c
@@ -40,9 +40,15 @@
     int64_t now = SpHttp_Now();
     Load l = local_load(j->n, now);
     SpShares path = path_shares(j->n, now, j->route);
+    Result lost = {.kind = SP_BROKEN, .outcome = SP_UNKNOWN, .reached = 1};
     FrameOut f;
 
     g_hash_table_remove(conn->jobs, &j->seq);
+    if (r->body_len && !has_room_to_send(conn, r->body_len)) {
+        SpLog(SP_LOG_WARN, "answer-dropped", "id=%s route=%s bytes=%zu", j->id,
+              j->route, r->body_len);
+        r = &lost;
+    }
     begin_link_frame(&f, conn, FRAME_ANSWER, 13);
     put_uint(&f, j->seq);
     put_uint(&f, r->kind);
@@ -197,7 +203,8 @@
 
     if (!conn || !conn->connected ||
         uv_stream_get_write_queue_size((uv_stream_t *)&conn->tcp) >
-            MAX_UNSENT_BYTES) {
+            MAX_UNSENT_BYTES ||
+        (o->body_len && !has_room_to_send(conn, o->body_len))) {
         return 0;
     }
     key = g_new(uint64_t, 1);
--- a/relay/run.c
+++ b/relay/run.c
@@ -164,6 +164,10 @@
     j->x = SpPool_Send(n->pool, &o);
     j->conn = SpExchange_Connection(j->x);
     /* the exchange has a copy of its own */
+    if (!j->held) {
+        j->sent = j->body_len;
+        SpHeld_Add(&n->held, SP_HELD_COPIES, j->sent);
+    }
     g_free(j->body_copy);
     j->body_copy = NULL;
     j->body = NULL;
--- a/relay/settings.c
+++ b/relay/settings.c
@@ -22,28 +22,30 @@
 #m, SpRead_Bool, OFF(m), 0, 0, 0, 0, NULL                             \
     }
 
-static const SpField fields[] = {NAME(name, 1),
-                                 NAME(zone, 1),
-                                 NAME(service, 1),
-                                 NAME(interface, 1),
-                                 ADDR(instance, 1),
-                                 ADDR(outbound, 1),
-                                 ADDR(inbound, 0),
-                                 ADDR(reports, 1),
-                                 ADDR(ready, 1),
-                                 ADDR(link, 1),
-                                 ADDR(metrics, 0),
-                                 ADDR(store, 1),
-                                 REAL(report_s, 0.05, 60),
-                                 REAL(drain_s, 0.1, 600),
-                                 REAL(stop_s, 0.1, 600),
-                                 REAL(retry_ratio, 0, 1),
-                                 REAL(retry_slack, 0, 10000),
-                                 REAL(retry_window_s, 1, 600),
-                                 NAME(log_level, 0),
-                                 REAL(memory_mb, 16, 65536),
-                                 BOOL(first_start),
-                                 {NULL, NULL, 0, 0, 0, 0, 0, NULL}};
+static const SpField fields[] = {
+    NAME(name, 1),
+    NAME(zone, 1),
+    NAME(service, 1),
+    NAME(interface, 1),
+    ADDR(instance, 1),
+    ADDR(outbound, 1),
+    ADDR(inbound, 0),
+    ADDR(reports, 1),
+    ADDR(ready, 1),
+    ADDR(link, 1),
+    ADDR(metrics, 0),
+    ADDR(store, 1),
+    REAL(report_s, 0.05, 60),
+    REAL(drain_s, 0.1, 600),
+    REAL(stop_s, 0.1, 600),
+    REAL(retry_ratio, 0, 1),
+    REAL(retry_slack, 0, 10000),
+    REAL(retry_window_s, 1, 600),
+    NAME(log_level, 0),
+    REAL(memory_mb, 16, 65536),
+    {"max_fds", SpRead_Int, OFF(max_fds), 0, 0, 1 << 24, 0, NULL},
+    BOOL(first_start),
+    {NULL, NULL, 0, 0, 0, 0, 0, NULL}};
 
 int
 SpRelaySettings_Load(const char *file, SpRelaySettings *s, SpProblems *ps)
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -1,7 +1,9 @@
 /* sprelay: relay daemon of an upstream instance. */
+#include <malloc.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/random.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
@@ -22,7 +24,19 @@
 /* Bodies of requests and answers may take one part in this many of memory_mb:
    a body can exist twice while it is passed on. */
 #define BODY_SHARE 4
+/* What is held for others in all may take this share of memory_mb. */
+#define HELD_SHARE 0.75
+/* Client connections that do nothing may take one part in this many of
+   memory_mb. */
+#define CONNECTIONS_SHARE 8
+#define CONNECTION_BYTES 4096
+/* Descriptors kept for the instance, the links, the store and files: one part
+   in FDS_SHARE, and some more. */
+#define FDS_SHARE 4
+#define FDS_KEPT 16
 #define MB 1048576.0
+/* Buffers from this size on are mapped on their own. */
+#define MAPPED_BYTES (256 << 10)
 /* A connection to the instance that has been idle for longer is not reused: if
    it no longer responds, only a request that is lost on it would show that. */
 #define INSTANCE_IDLE_US (2 * SP_SEC)
@@ -308,11 +322,44 @@
     g_ptr_array_add(service_of(n, n->settings.service)->upstreams, u);
 }
 
+/* The limit of the connections of clients. */
+static int
+max_clients(const Relay *n)
+{
+    double most =
+        n->settings.memory_mb * MB / CONNECTIONS_SHARE / CONNECTION_BYTES;
+    struct rlimit r;
+    double fds = n->settings.max_fds;
+
+    if (getrlimit(RLIMIT_NOFILE, &r) == 0 && r.rlim_cur != RLIM_INFINITY &&
+        (fds == 0 || (double)r.rlim_cur < fds)) {
+        fds = (double)r.rlim_cur;
+    }
+    fds -= fds / FDS_SHARE + FDS_KEPT;
+    return (int)MAX(MIN(fds, most), 1);
+}
+
+static void
+limit_memory(Relay *n)
+{
+    size_t all = (size_t)(n->settings.memory_mb * MB);
+    size_t part = all / BODY_SHARE;
+
+    n->held.limit = (size_t)(HELD_SHARE * (double)all);
+    n->body_memory = (SpBodyMemory){part, 0, &n->held, SP_HELD_BODIES};
+    n->job_memory = (SpBodyMemory){part, 0, &n->held, SP_HELD_COPIES};
+    n->answer_memory = (SpBodyMemory){part, 0, &n->held, SP_HELD_ANSWERS};
+    n->frame_memory = (SpBodyMemory){part, 0, &n->held, SP_HELD_FRAMES};
+    n->link_memory = (SpBodyMemory){part / 2, 0, &n->held, SP_HELD_FRAMES};
+    n->reply_memory = (SpBodyMemory){part / 2, 0, &n->held, SP_HELD_FRAMES};
+}
+
 static int
 start_relay(Relay *n, GError **err)
 {
     static const SpHttpLimits limits = {16384, 64 << 20, 5 * SP_SEC,
                                         60 * SP_SEC};
+    SpHttpOpts ho = {&n->body_memory, &n->answer_memory, max_clients(n)};
     SpPoolOpts po = {.connect_us = 1 * SP_SEC,
                      .idle_us = INSTANCE_IDLE_US,
                      .body_bytes = 64 << 20,
@@ -332,10 +379,10 @@
     n->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
     SpLimiter_Init(&n->limiter);
     SpAdmission_Init(&n->admission);
-    n->body_memory.limit = (size_t)(n->settings.memory_mb * MB) / BODY_SHARE;
-    n->job_memory.limit = n->body_memory.limit;
-    n->link_memory.limit = n->body_memory.limit / 2;
-    n->http = SpHttpServer_New(n->loop, &limits, &n->body_memory);
+    limit_memory(n);
+    n->http = SpHttpServer_New(n->loop, &limits, &ho);
+    n->held.make_room = SpHttpServer_MakeRoom;
+    n->held.ctx = n->http;
     g_strlcpy(po.addr, n->settings.instance, sizeof po.addr);
     n->pool = SpPool_New(n->loop, &po);
     init_self(n);
@@ -406,6 +453,8 @@
         return 0;
     }
     signal(SIGPIPE, SIG_IGN);
+    /* a large buffer goes back to the system when it is freed */
+    (void)mallopt(M_MMAP_THRESHOLD, MAPPED_BYTES);
     SpLevel_Parse(n.settings.log_level,
                   &level); /* the settings were checked */
     SpLog_Init("sprelay", n.settings.name, level, stdout, wall_us);
--- a/relay/sums.c
+++ b/relay/sums.c
@@ -21,6 +21,13 @@
 #define LOG_RATIO 2.0
 #define LOG_US (1 * SP_SEC)
 
+/* What FRAME_SUMS has. */
+typedef enum {
+    SUMS_SOME, /* of workspaces near their limit */
+    SUMS_FULL, /* what it does not mention has not changed */
+    SUMS_LAST  /* the sender has no members any more */
+} SumsKind;
+
 typedef struct LoggedLimit {
     uint64_t key;
     double admit;
@@ -130,14 +137,15 @@
  */
 
 static void
-send_sums(LinkConn *conn, const GArray *sums, const GArray *members, int full)
+send_sums(LinkConn *conn, const GArray *sums, const GArray *members,
+          SumsKind kind)
 {
     FrameOut f;
     guint i;
 
     begin_link_frame(&f, conn, FRAME_SUMS, 4);
     put_uint(&f, conn->n->incarnation);
-    put_uint(&f, (uint64_t)full);
+    put_uint(&f, kind);
     put_array(&f, (size_t)sums->len * SUM_FIELDS);
     for (i = 0; i < sums->len; i++) {
         const SpQuotaSum *s = &g_array_index(sums, SpQuotaSum, i);
@@ -162,7 +170,7 @@
     GArray *sums = g_array_new(FALSE, FALSE, sizeof(SpQuotaSum));
 
     SpLedger_Sums(conn->n->quotas->ledger, conn->sums_at, 1, sums);
-    send_sums(conn, sums, members, 1);
+    send_sums(conn, sums, members, SUMS_FULL);
     conn->sums_at = now;
     g_array_unref(sums);
 }
@@ -194,7 +202,7 @@
             send_full(conn, now, conn->same_zone ? members : none);
         }
         else if (alive || (in_use && sums->len)) {
-            send_sums(conn, in_use ? sums : none, none, 0);
+            send_sums(conn, in_use ? sums : none, none, SUMS_SOME);
         }
     }
     g_array_unref(sums);
@@ -204,6 +212,24 @@
     q->alive_at = alive ? now : q->alive_at;
 }
 
+/* The members have turned to another ledger. */
+static void
+send_last(Relay *n)
+{
+    GArray *none = g_array_new(FALSE, FALSE, sizeof(SpQuotaSum));
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, n->links->peers);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Peer *p = v;
+        if (p->contact && p->conn && p->conn->name[0]) {
+            send_sums(p->conn, none, none, SUMS_LAST);
+        }
+    }
+    g_array_unref(none);
+}
+
 static int
 read_sums(FrameIn *f, GArray *sums)
 {
@@ -247,10 +273,12 @@
     GArray *members = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     int64_t now = SpHttp_Now();
     Peer *p = find_peer_of(n, conn->name);
+    uint64_t kind;
     int ok;
 
     from.epoch = get_uint(f);
-    from.full = get_uint(f) != 0;
+    kind = get_uint(f);
+    from.full = kind == SUMS_FULL;
     ok = read_sums(f, sums) && read_keys(f, members);
     from.members = (const uint64_t *)(const void *)members->data;
     from.nmembers = members->len;
@@ -262,6 +290,9 @@
         SpLedger_AddSums(use_ledger(n, now), now, &from,
                          (const SpQuotaSum *)(const void *)sums->data,
                          sums->len);
+        if (kind == SUMS_LAST) {
+            SpLedger_RemovePeer(n->quotas->ledger, conn->name);
+        }
     }
     g_array_unref(sums);
     g_array_unref(members);
@@ -362,8 +393,13 @@
     set_zones(n, now);
     SpLedger_Update(q->ledger, now);
     if (SpLedger_Members(q->ledger) == 0) {
+        if (q->is_used) {
+            send_last(n);
+        }
+        q->is_used = 0;
         return;
     }
+    q->is_used = 1;
     exchange_sums(n, now);
     if (SpLedger_TakeUrgent(q->ledger)) {
         push_words(n, now);
--- a/standin/meshplan.c
+++ b/standin/meshplan.c
@@ -225,6 +225,7 @@
                   {"bounds.budget_slack", "49", 0},
                   {"bounds.budget_window_s", "10", 0},
                   {"limits.memory_mb", "260", 0},
+                  {"limits.max_fds", "4100", 0},
                   {"bootstrap", "true", 0},
                   {"internal_ports.0", G_STRINGIFY(MESH_LINK_PORT), 0},
                   {"ip", n->ip, 0},
--- a/standin/spload.c
+++ b/standin/spload.c
@@ -116,7 +116,7 @@
         {"series", required_argument, NULL, 's'},
         {"help", no_argument, NULL, 'h'},
         {NULL, 0, NULL, 0}};
-    SpWebOpts wo = {1 << 20, 65536, 60000, 1000};
+    SpWebOpts wo = {1 << 20, 65536, 60000, 1000, 0};
     const char *file = NULL;
     int c;
 
--- a/standin/splog.c
+++ b/standin/splog.c
@@ -313,7 +313,7 @@
         {"retain-ms", required_argument, NULL, 'k'},
         {"help", no_argument, NULL, 'h'},
         {NULL, 0, NULL, 0}};
-    SpWebOpts wo = {MAX_RECORD, 65536, 60000, 10000};
+    SpWebOpts wo = {MAX_RECORD, 65536, 60000, 10000, 0};
     SpWebHandler h = {on_request, on_disconnect, NULL};
     const char *addr = NULL;
     uv_signal_t term;
--- a/standin/spstore.c
+++ b/standin/spstore.c
@@ -483,6 +483,7 @@
 int
 main(int argc, char **argv)
 {
+    static const SpHttpOpts opts = {NULL, NULL, 0};
     static const SpHttpLimits limits = {65536, 4 << 20, 5 * SP_SEC,
                                         60 * SP_SEC};
     SpHttpHandler h = {on_request, on_disconnect, NULL};
@@ -507,7 +508,7 @@
     store.loop = uv_default_loop();
     store.topics = g_hash_table_new(g_str_hash, g_str_equal);
     store.pending_reads = g_ptr_array_new();
-    store.http = SpHttpServer_New(store.loop, &limits, NULL);
+    store.http = SpHttpServer_New(store.loop, &limits, &opts);
     if (!SpHttpServer_Listen(store.http, addr, &h, &err)) {
         fprintf(stderr, "spstore: %s\n", err->message);
         return 1;
--- a/standin/spup.c
+++ b/standin/spup.c
@@ -63,7 +63,7 @@
 static int
 serve(GError **err)
 {
-    SpWebOpts wo = {4 << 20, 65536, 60000, 100000};
+    SpWebOpts wo = {4 << 20, 65536, 60000, 100000, 0};
     SpWebHandler control = {on_control, on_control_disconnect, NULL};
     int i;
 
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -104,7 +104,7 @@
         keyed=",\"tenants\":{\"columns\":[\"name\",\"api_keys\",\"priority\",\"rate_per_s\",\"burst\"],\"rows\":[$WORKSPACES]}"
     shift
     rows=$(IFS=,; echo "$*")
-    append keyed.op config "{\"version\":\"$version\",\"routes\":{\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\",\"max_attempts\",\"public\"],\"rows\":[$rows]},\"services\":{\"columns\":[\"name\",\"health_path\"],\"rows\":[[\"front\",\"/health\"],[\"back\",\"/health\"],[\"rare\",\"/health\"]]},\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":${BODY_BYTES:-100000},\"header_timeout_s\":1,\"idle_timeout_s\":5}$keyed}"
+    append keyed.op config "{\"version\":\"$version\",\"routes\":{\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\",\"max_attempts\",\"public\"],\"rows\":[$rows]},\"services\":{\"columns\":[\"name\",\"health_path\"],\"rows\":[[\"front\",\"/health\"],[\"back\",\"/health\"],[\"rare\",\"/health\"]]},\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":${BODY_BYTES:-100000},\"header_timeout_s\":1,\"idle_timeout_s\":${IDLE_S:-5}}$keyed}"
 }
 
 store_mode() {
--- a/test/quotaload.c
+++ b/test/quotaload.c
@@ -185,6 +185,24 @@
     Sim_Free(s);
 }
 
+/* The nodes of a zone find different coordinators first, and agree later: none
+   of the earlier ones holds anything for them. */
+static void
+test_scattered(void)
+{
+    Sim *s = Sim_New(&many);
+
+    Sim_Scatter(s, 1);
+    Sim_Run(s, 4);
+    Sim_Scatter(s, 0);
+    Sim_Run(s, 3);
+    Sim_Clear(s);
+    Sim_Run(s, 10);
+    CU_ASSERT(Sim_Refused(s, NULL, 0) < 0.002);
+    CU_ASSERT(Sim_Worst(s) <= 1);
+    Sim_Free(s);
+}
+
 /* A coordinator and a node stand still and wake with what they knew, while a
    workspace floods. */
 static void
@@ -271,6 +289,7 @@
     {"quota", "failure: zone cut", test_zone_cut},
     {"quota", "failure: calm zone cut", test_zone_cut_calm},
     {"quota", "failure: coordinator killed", test_coordinator_killed},
+    {"quota", "failure: scattered", test_scattered},
     {"quota", "failure: frozen", test_frozen},
     {"quota", "failure: nodes cut", test_nodes_cut},
     {"quota", "failure: all restart", test_all_restart},
--- a/test/quotasim.c
+++ b/test/quotasim.c
@@ -211,6 +211,9 @@
                               m->items->len);
         }
         break;
+    case MSG_LAST:
+        SpLedger_RemovePeer(to->ledger, from->name);
+        break;
     case MSG_LEAVE:
         SpLedger_RemoveMember(to->ledger, from->name);
         break;
@@ -261,6 +264,9 @@
     const Node *n = &s->nodes[self];
     guint i, rank = 0;
 
+    if (s->scattered) {
+        return (int)(n->zone + s->o.zones * (self / s->o.zones % CONTACTS));
+    }
     for (i = 0; i < s->o.nodes; i++) {
         const Node *c = &s->nodes[i];
         if (c->zone != n->zone) {
@@ -325,6 +331,15 @@
     SpLedger_MemberKeys(s->nodes[self].ledger, m->members);
 }
 
+static void
+send_last(Sim *s, guint self, guint to)
+{
+    if (s->nodes[self].is_used) {
+        post(s, MSG_LAST, self, to,
+             g_array_new(FALSE, FALSE, sizeof(SpQuotaSum)));
+    }
+}
+
 /* As relay/sums.c does. */
 static void
 exchange(Sim *s, guint self)
@@ -339,7 +354,11 @@
     for (i = 0; i < CONTACTS * s->o.zones; i++) {
         int in_use =
             i / s->o.zones == 0 || SpLedger_Members(s->nodes[i].ledger) > 0;
-        if (i == self || s->nodes[i].dead || !SpLedger_Members(n->ledger)) {
+        if (i == self || s->nodes[i].dead) {
+            continue;
+        }
+        if (!SpLedger_Members(n->ledger)) {
+            send_last(s, self, i);
             continue;
         }
         if (s->now - n->full_at[i] >= (in_use ? FULL_US : STANDBY_US)) {
@@ -355,6 +374,7 @@
     }
     g_array_unref(sums);
     g_array_unref(none);
+    n->is_used = SpLedger_Members(n->ledger) > 0;
     n->sums_at = s->now;
     n->alive_at = alive ? s->now : n->alive_at;
 }
@@ -462,6 +482,12 @@
     s->nodes[node].started = s->now; /* its links are opened again */
 }
 
+void
+Sim_Scatter(Sim *s, int scattered)
+{
+    s->scattered = scattered;
+}
+
 void
 Sim_Kill(Sim *s, guint node)
 {
--- a/test/quotasim.h
+++ b/test/quotasim.h
@@ -48,6 +48,8 @@
 void Sim_Freeze(Sim *s, guint node, int frozen);
 /* Sim_Restart replaces the process of a node by a new one. */
 void Sim_Restart(Sim *s, guint node);
+/* Sim_Scatter: the nodes of a zone report to different contacts. */
+void Sim_Scatter(Sim *s, int scattered);
 void Sim_Kill(Sim *s, guint node);
 const SimCount *Sim_Count(Sim *s, guint w);
 double Sim_Rate(const Sim *s, guint w);
--- a/test/quotasim_priv.h
+++ b/test/quotasim_priv.h
@@ -21,7 +21,7 @@
 #define ENTRY_BYTES 18
 #define FRAME_BYTES 12
 
-typedef enum { MSG_USAGE, MSG_WORDS, MSG_LEAVE, MSG_SUMS } MsgType;
+typedef enum { MSG_USAGE, MSG_WORDS, MSG_LEAVE, MSG_SUMS, MSG_LAST } MsgType;
 
 typedef struct Msg {
     MsgType type;
@@ -43,6 +43,7 @@
     int dead, frozen, cut;
     int64_t started, stepped_at, sums_at, alive_at;
     int64_t full_at[CONTACTS * SP_LEDGER_ZONES]; /* sums to contacts */
+    int is_used; /* 1: its ledger has members */
     uint64_t sent_bytes;
     int coordinator; /* index; -1: none */
 } Node;
@@ -64,6 +65,7 @@
     double (*bins)[BINS];
     int64_t cleared;
     uint64_t messages;
+    int scattered;
 };
 
 /* quotasim.c */
--- a/test/test.h
+++ b/test/test.h
@@ -12,6 +12,12 @@
 extern const Unit flow_units[];
 extern const Unit wire_units[];
 
+/* eviction.c */
+extern const Unit eviction_units[];
+
+/* held.c */
+extern const Unit held_units[];
+
 /* directory.c */
 extern const Unit directory_units[];
 
--- a/test/unit.c
+++ b/test/unit.c
@@ -459,6 +459,8 @@
     add_units(fairqueue_units);
     add_units(fairshare_units);
     add_units(retryparts_units);
+    add_units(eviction_units);
+    add_units(held_units);
     add_units(quota_units);
     add_units(quota_load_units);
     CU_basic_set_mode(CU_BRM_VERBOSE);
--- a/web/server.c
+++ b/web/server.c
@@ -16,19 +16,6 @@
     size_t header_bytes;
 } Handler;
 
-typedef struct Listener {
-    uv_tcp_t tcp;
-    SpWeb *web;
-    h2o_accept_ctx_t accept;
-    h2o_hostconf_t *hosts[2];
-    int nconns;
-} Listener;
-
-typedef struct Client {
-    uv_tcp_t tcp;
-    Listener *l;
-} Client;
-
 struct SpWebReq {
     h2o_req_t *req;        /* NULL once h2o has freed it */
     h2o_socket_t *watched; /* read for a disconnect while pending */
@@ -215,6 +202,7 @@
     w->loop = loop;
     w->o = *o;
     w->listeners = g_ptr_array_new();
+    w->clients = g_ptr_array_new();
     w->req_by_sock = g_hash_table_new(NULL, NULL);
     w->pools = g_hash_table_new(g_str_hash, g_str_equal);
     h2o_config_init(&w->conf);
@@ -232,6 +220,7 @@
 
     c->l->nconns--;
     c->l->web->nconns--;
+    forget_client(c);
     free(c);
 }
 
@@ -268,11 +257,12 @@
         return;
     }
     uv_tcp_nodelay(&c->tcp, 1);
-    if (l->nconns > l->web->o.max_connections) {
+    if (l->nconns > l->web->o.max_connections || !make_descriptor(l->web)) {
         reject_client(c);
         return;
     }
     sock = h2o_uv_socket_create((uv_stream_t *)&c->tcp, on_client_closed);
+    watch_client(c, sock);
     h2o_accept(&l->accept, sock);
 }
 
@@ -309,6 +299,7 @@
         }
         h2o_context_init(&w->ctx, w->loop, &w->conf);
         h2o_timeout_init(w->loop, &w->io_timeout, 60000);
+        watch_clients(w);
         w->client.loop = w->loop;
         w->client.io_timeout = &w->io_timeout;
     }
--- a/web/web.h
+++ b/web/web.h
@@ -21,6 +21,8 @@
     size_t header_bytes; /* size limit of a request head */
     int idle_ms;         /* time limit of a connection without a request */
     int max_connections; /* of each listener */
+    size_t memory_bytes; /* of requests being read, all together; 0: no limit
+                          */
 } SpWebOpts;
 
 /*
