http: no search for a client to close right after none was found

Each refused need looked at all clients, also for each header line of a crowd: work that grows with the product of both. After none was found, the next search for that need waits 10 ms. Buffers are mapped from 1 MB on, not 256 KB, so that middling bodies don't cost a system call each.

--- a/http/clients.c
+++ b/http/clients.c
@@ -2,7 +2,6 @@
    when memory or descriptors are needed. */
 #include <poll.h>
 
-#include "flow/eviction.h"
 #include "http/conn.h"
 
 /* Time for the client to close a connection after it has taken the last
@@ -11,6 +10,8 @@
 /* Time for the first or next request of a connection to arrive before
    SpHttpServer_CloseIdle takes the connection as idle. */
 #define CLOSE_IDLE_US (200 * SP_MS)
+/* Time for which no client to close is looked for after there was none. */
+#define NONE_US (10 * SP_MS)
 
 /* Closes the connection once its last response has been sent. */
 static void
@@ -240,14 +241,20 @@
     }
 }
 
-/* Closes the client that goes for this need; returns 0 if there is none. */
+/* Closes the client that goes for this need; returns 0 if there is none. All
+   clients are looked at, so not again for a moment after none was found. */
 static int
 close_one(SpHttpServer *s, SpNeed need, SpHeldKind k)
 {
-    int64_t late_us = 0;
-    Conn *c = choose(s, need, k, &late_us);
+    int64_t *none_at = &s->none_at[need][k], now = SpHttp_Now(), late_us = 0;
+    Conn *c;
 
+    if (now - *none_at < NONE_US) {
+        return 0;
+    }
+    c = choose(s, need, k, &late_us);
     if (!c) {
+        *none_at = now;
         return 0;
     }
     if (need == SP_NEED_MEMORY) {
--- a/http/conn.h
+++ b/http/conn.h
@@ -2,6 +2,7 @@
 #ifndef SP_HTTP_CONN_H
 #define SP_HTTP_CONN_H
 
+#include "flow/eviction.h"
 #include "http/priv.h"
 
 /* Memory of a connection that does nothing. */
@@ -53,6 +54,8 @@
     SpHttpLimits limits;
     SpHttpOpts o;
     SpHttpCounts counts;
+    /* when there was no client to close, by need and kind of memory */
+    int64_t none_at[SP_NEED_DESCRIPTOR + 1][SP_HELD_NKINDS + 1];
     const Conn *reading;      /* whose bytes are being read; NULL: none */
     GPtrArray *conns;         /* of Conn */
     GPtrArray *broken;        /* of Conn */
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -36,7 +36,7 @@
 #define FDS_KEPT 16
 #define MB 1048576.0
 /* Buffers from this size on are mapped on their own. */
-#define MAPPED_BYTES (256 << 10)
+#define MAPPED_BYTES (1 << 20)
 /* A connection to the instance that has been idle for longer is not reused: if
    it no longer responds, only a request that is lost on it would show that. */
 #define INSTANCE_IDLE_US (2 * SP_SEC)
