flow: the limiter starts requests up to a limit that is being tried

A trial of another limit must not change what callers and admission are told, and beyond the limit that holds only requests that may be repeated are to be started. SpLimiter_Try sets both; without it nothing differs.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -105,6 +105,7 @@
     double weight;         /* of the workspace; 0: 1 */
     int rank;
     int nested; /* 1: made on behalf of a request that is already running */
+    int repeatable; /* 1: it may run more than once */
     int64_t arrived;
     int64_t deadline;
     int queued;
@@ -120,8 +121,11 @@
 } SpLimiterDecision;
 
 typedef struct SpLimiter {
-    int slots;    /* capacity that the instance reports */
-    double limit; /* maximum number of running requests */
+    int slots;          /* capacity that the instance reports */
+    double limit;       /* maximum number of running requests */
+    double start_limit; /* the one up to which requests are started now;
+                           differs during a trial of another limit */
+    double firm_limit;  /* the same for those that are not repeatable */
     int running;
     int queued;
     SpFairQueue queue[SP_LIMITER_QUEUES];
@@ -137,6 +141,9 @@
 /* SpLimiter_SetLimit sets the limit for an instance that has not reported its
    slots yet. */
 void SpLimiter_SetLimit(SpLimiter *l, double limit);
+/* SpLimiter_Try sets the limits up to which requests are started, as long as
+   they differ from the limit itself. */
+void SpLimiter_Try(SpLimiter *l, double start, double firm);
 /* SpLimiter_Submit starts, queues or rejects a request; after SP_LIMITER_RUN
    it counts as running. */
 SpLimiterDecision SpLimiter_Submit(SpLimiter *l, int64_t now, SpLimiterReq *r);
--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -25,7 +25,7 @@
 
     memset(l, 0, sizeof *l);
     l->run_us = DEFAULT_RUN_US;
-    l->limit = 1;
+    SpLimiter_SetLimit(l, 1);
     for (i = 0; i < SP_LIMITER_QUEUES; i++) {
         SpFairQueue_Init(&l->queue[i]);
     }
@@ -45,7 +45,7 @@
 SpLimiter_SetSlots(SpLimiter *l, int slots)
 {
     l->slots = slots;
-    l->limit = MAX(1, (int)(slots * SLOTS_SHARE));
+    SpLimiter_SetLimit(l, (int)(slots * SLOTS_SHARE));
 }
 
 /* Current run time: the smoothed one, or the mean age of the running requests
@@ -74,6 +74,20 @@
 SpLimiter_SetLimit(SpLimiter *l, double limit)
 {
     l->limit = MAX(1, limit);
+    l->start_limit = l->firm_limit = l->limit;
+}
+
+void
+SpLimiter_Try(SpLimiter *l, double start, double firm)
+{
+    l->start_limit = MAX(1, start);
+    l->firm_limit = MAX(1, firm);
+}
+
+static int
+may_start(const SpLimiter *l, const SpLimiterReq *r)
+{
+    return l->running < (int)(r->repeatable ? l->start_limit : l->firm_limit);
 }
 
 static int
@@ -116,7 +130,7 @@
     if (left <= 0) {
         return SP_LIMITER_REJECT;
     }
-    if (l->queued == 0 && l->running < (int)l->limit) {
+    if (l->queued == 0 && may_start(l, r)) {
         start_run(l, now, r);
         return SP_LIMITER_RUN;
     }
@@ -140,22 +154,45 @@
     l->queued--;
 }
 
+/* Returns the request whose turn it is, or the first one that may be started
+   during a trial; NULL if there is none. */
+static SpLimiterReq *
+take_next(SpLimiter *l, SpFairQueue *q)
+{
+    SpFairItem *item;
+    GList *k;
+
+    if (l->running < (int)MIN(l->start_limit, l->firm_limit)) {
+        item = SpFairQueue_Take(q);
+        if (!item) {
+            return NULL;
+        }
+        ((SpLimiterReq *)item->user)->queued = 0;
+        l->queued--;
+        return item->user;
+    }
+    for (k = q->items.head; k; k = k->next) {
+        SpLimiterReq *r = ((SpFairItem *)k->data)->user;
+        if (may_start(l, r)) {
+            remove_queued(l, r);
+            return r;
+        }
+    }
+    return NULL;
+}
+
 SpLimiterReq *
 SpLimiter_Dequeue(SpLimiter *l, int64_t now)
 {
-    SpFairItem *item;
     SpLimiterReq *r;
     int i;
 
-    if (l->running >= (int)l->limit) {
+    if (l->running >= (int)MAX(l->start_limit, l->firm_limit)) {
         return NULL;
     }
     for (i = 0; i < SP_LIMITER_QUEUES; i++) {
-        item = SpFairQueue_Take(&l->queue[i]);
-        if (item) {
-            r = item->user;
-            r->queued = 0;
-            l->queued--;
+        r = take_next(l, &l->queue[i]);
+        if (r) {
             start_run(l, now, r);
             return r;
         }
