flow: learned capacity of an instance

The limit follows trials, for which run times over their floor, rejections and requests without an answer give the reason (docs/design/uneven.md).

--- /dev/null
+++ b/flow/capacity.c
@@ -0,0 +1,244 @@
+/* What the runs of an instance tell of its capacity. */
+#include <math.h>
+#include <string.h>
+
+#include "flow/capacity.h"
+
+/* Part of the announced slots to use at most. */
+#define SLOTS_SHARE 0.95
+#define STEP_US (20 * SP_MS)
+#define RUN_WEIGHT 0.05
+#define SLOWEST_DECAY 0.998
+/* A run time counts as this many floors at most. */
+#define MAX_RATIO 3.0
+/* Steps of the floor: run times in one, its weight downwards and upwards. */
+#define FLOOR_WINDOW 64
+#define FLOOR_DOWN 0.2
+#define FLOOR_UP 0.02
+/* Runs started below this part of the limit show the floor. */
+#define LOW_SHARE 0.5
+/* A run is overdue after this many of the slowest run times of its route, once
+   this many later runs of it have been answered. */
+#define OVERDUE_RATIO 2.0
+#define OVERTAKEN 50
+#define OVERDUE_US (250 * SP_MS)
+/* The same in mean run times, while more than that share are lost. */
+#define LOST_RATIO 4.0
+#define LOST_SHARE 0.1
+#define LOST_WEIGHT 0.02
+/* Share of lost runs that take places. */
+#define LOSING_SHARE 0.05
+/* Requests never answered are remembered for this time. */
+#define LOST_MEMORY_US (30 * SP_SEC)
+
+static double
+cap_of(int slots)
+{
+    return MAX(1, (int)(slots * SLOTS_SHARE));
+}
+
+void
+SpCapacity_Begin(SpCapacity *c, int slots)
+{
+    memset(c, 0, sizeof *c);
+    SpTrial_Begin(&c->trial, cap_of(slots));
+}
+
+void
+SpCapacity_SetSlots(SpCapacity *c, int slots)
+{
+    if (cap_of(slots) != c->trial.cap) {
+        SpTrial_SetCap(&c->trial, cap_of(slots));
+    }
+}
+
+static int
+route_index(SpCapacity *c, const char *name)
+{
+    guint hash = g_str_hash(name);
+    SpCapacityRoute *r;
+    int i;
+
+    for (i = 0; i < c->nroutes; i++) {
+        r = &c->routes[i];
+        if (r->hash == hash && strcmp(r->name, name) == 0) {
+            return i;
+        }
+    }
+    if (c->nroutes == SP_CAPACITY_ROUTES) {
+        return SP_CAPACITY_ROUTES - 1;
+    }
+    r = &c->routes[c->nroutes];
+    memset(r, 0, sizeof *r);
+    r->hash = hash;
+    g_strlcpy(r->name, name, sizeof r->name);
+    return c->nroutes++;
+}
+
+void
+SpCapacity_Started(SpCapacity *c, const char *route, int ahead,
+                   SpCapacityRun *r)
+{
+    r->route = route_index(c, route);
+    r->ahead = ahead;
+    r->answered = c->routes[r->route].answered;
+}
+
+/* Only runs that started at low concurrency show the floor: it would follow
+   the load otherwise. */
+static void
+update_floor(SpCapacityRoute *r, double us)
+{
+    double mean;
+
+    r->window_us += r->floor_us > 0 ? MIN(us, MAX_RATIO * r->floor_us) : us;
+    if (++r->window_n < FLOOR_WINDOW) {
+        return;
+    }
+    mean = r->window_us / r->window_n;
+    r->window_us = 0;
+    r->window_n = 0;
+    if (r->floor_us <= 0) {
+        r->floor_us = mean;
+        return;
+    }
+    r->floor_us +=
+        (mean < r->floor_us ? FLOOR_DOWN : FLOOR_UP) * (mean - r->floor_us);
+}
+
+static void
+count_answer(SpCapacity *c, const SpCapacityRun *run, double us)
+{
+    SpCapacityRoute *r = &c->routes[run->route];
+    SpTrialView *v = &c->since;
+
+    r->answered++;
+    r->mean_us +=
+        MAX(RUN_WEIGHT, 1.0 / (double)r->answered) * (us - r->mean_us);
+    r->slowest_us = MAX(us, SLOWEST_DECAY * r->slowest_us);
+    if (run->ahead < LOW_SHARE * c->trial.limit) {
+        update_floor(r, us);
+    }
+    v->answered++;
+    v->work += r->floor_us > 0 ? r->floor_us : r->mean_us;
+    if (r->floor_us > 0) {
+        v->own_us += MIN(us, MAX_RATIO * r->floor_us);
+        v->floor_us += r->floor_us;
+    }
+}
+
+void
+SpCapacity_Ended(SpCapacity *c, int64_t now, const SpCapacityRun *r,
+                 SpRunEnd end, int64_t own_us)
+{
+    if (r->route >= c->nroutes) {
+        return; /* of an earlier lifetime */
+    }
+    if (end == SP_RUN_NO_NEWS ||
+        (end == SP_RUN_LOST &&
+         (double)own_us < LOST_RATIO * c->routes[r->route].mean_us)) {
+        return;
+    }
+    c->lost_share += LOST_WEIGHT * ((end == SP_RUN_LOST) - c->lost_share);
+    if (end == SP_RUN_ANSWERED) {
+        count_answer(c, r, (double)own_us);
+    }
+    else {
+        c->since.failed++;
+        c->lost_at = end == SP_RUN_LOST ? now : c->lost_at;
+    }
+}
+
+static double
+overdue_us(const SpCapacity *c, const SpCapacityRoute *r)
+{
+    double us = OVERDUE_RATIO * r->slowest_us;
+
+    if (c->lost_share > LOST_SHARE) {
+        us = MIN(us, LOST_RATIO * r->mean_us);
+    }
+    return MAX(us, OVERDUE_US);
+}
+
+int
+SpCapacity_IsOverdue(const SpCapacity *c, const SpCapacityRun *r,
+                     int64_t own_us)
+{
+    const SpCapacityRoute *route = &c->routes[r->route];
+
+    return r->route < c->nroutes &&
+           route->answered > r->answered + (uint64_t)r->ahead + OVERTAKEN &&
+           (double)own_us > overdue_us(c, route);
+}
+
+/* Takes the present run times as the floor: they don't depend on the
+   concurrency. slow is negative where the floor is unknown. */
+static void
+rebase_floors(SpCapacity *c, double slow)
+{
+    int i;
+
+    for (i = 0; i < c->nroutes; i++) {
+        SpCapacityRoute *r = &c->routes[i];
+        r->floor_us = r->floor_us > 0 && slow > 0 ? MAX(1, slow) * r->floor_us
+                                                  : r->mean_us;
+        r->window_us = 0;
+        r->window_n = 0;
+    }
+}
+
+int
+SpCapacity_Step(SpCapacity *c, int64_t now, int running, int queued)
+{
+    double was = SpTrial_Limit(&c->trial), learned = c->trial.limit, slow;
+    double elapsed = (double)(now - c->at);
+    SpTrialStep s = {now, c->since, running, queued,
+                     c->lost_share > LOSING_SHARE};
+
+    if (c->trial.cap <= 0 || (c->at && elapsed < STEP_US)) {
+        return 0;
+    }
+    memset(&c->since, 0, sizeof c->since);
+    if (c->at) {
+        s.since.us = elapsed;
+        s.since.running_us = elapsed * running;
+        slow = SpTrial_Step(&c->trial, &s);
+        if (slow != 0) {
+            rebase_floors(c, slow);
+        }
+    }
+    c->at = now;
+    return learned != c->trial.limit || was != SpTrial_Limit(&c->trial);
+}
+
+double
+SpCapacity_Limit(const SpCapacity *c)
+{
+    return MAX(1, (int)c->trial.limit);
+}
+
+double
+SpCapacity_StartLimit(const SpCapacity *c, int64_t now, int firm)
+{
+    double limit = SpTrial_Limit(&c->trial);
+
+    if (firm && c->lost_at && now - c->lost_at < LOST_MEMORY_US) {
+        limit = MIN(limit, c->trial.limit);
+    }
+    return MAX(1, (int)limit);
+}
+
+double
+SpCapacity_Floor(const SpCapacity *c)
+{
+    double sum = 0, n = 0;
+    int i;
+
+    for (i = 0; i < c->nroutes; i++) {
+        if (c->routes[i].floor_us > 0) {
+            sum += c->routes[i].floor_us * (double)c->routes[i].answered;
+            n += (double)c->routes[i].answered;
+        }
+    }
+    return n > 0 ? sum / n : 0;
+}
--- a/test/test.h
+++ b/test/test.h
@@ -35,6 +35,8 @@
 /* quota.c, quotaload.c */
 extern const Unit quota_units[];
 extern const Unit quota_load_units[];
+/* capacity.c */
+extern const Unit capacity_units[];
 
 /* unit.c: runs the CUnit tests; returns the exit status */
 int run_units(void);
--- a/test/unit.c
+++ b/test/unit.c
@@ -463,6 +463,7 @@
     add_units(held_units);
     add_units(quota_units);
     add_units(quota_load_units);
+    add_units(capacity_units);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     failures = CU_get_number_of_failures();
