relay: setting capacity = learned

The relay beside an instance feeds flow/capacity.h and applies its limits; the default, announced, is as before. A run that is not expected to be answered takes no room any more; an idempotent one is sent elsewhere, another one waits until its deadline and ends as unknown. The time of a run's nested calls doesn't count.

--- a/relay/entry.c
+++ b/relay/entry.c
@@ -33,6 +33,11 @@
 static void
 free_call(Call *c)
 {
+    Job *j = c->nested ? parent_of(c) : NULL;
+
+    if (j) {
+        nested_ended(j);
+    }
     g_queue_unlink(&c->n->calls, &c->node);
     SpRoutes_Unref(c->routes);
     if (c->head) {
@@ -238,6 +243,7 @@
         return;
     }
     c->nested = 1;
+    nested_began(j);
     c->is_retry = j->is_retry;
     c->n->parents_known = 1;
     c->rank = j->req.rank;
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -175,6 +175,7 @@
     j->req.weight = workspace_weight(n, j->workspace);
     j->req.rank = o->rank;
     j->req.nested = o->nested;
+    j->req.repeatable = o->idempotent;
     j->req.deadline = MIN(now + o->left_us, answer_by(n));
     j->node.data = j;
     g_strlcpy(j->id, o->id, sizeof j->id);
@@ -234,13 +235,13 @@
               (SpHttp_Now() - j->req.arrived) / SP_MS, n->limiter.running,
               n->limiter.queued);
     }
+    end_capacity_run(j, SP_RUN_NO_NEWS);
     SpLimiter_End(&n->limiter, SpHttp_Now(), &j->req, -1);
     free_job(j);
     run_next(n);
 }
 
-/* Aborts a run that the instance did not end at its deadline. */
-static void
+void
 abort_run(Job *j, int64_t now)
 {
     Relay *n = j->n;
@@ -250,10 +251,12 @@
     j->x = NULL;
     SpLog(SP_LOG_WARN, "run-cut", "id=%s instance=%s ms=%" PRId64, j->id,
           n->inst.last.id, (now - j->started) / SP_MS);
+    end_capacity_run(j, SP_RUN_LOST);
     SpLimiter_End(&n->limiter, now, &j->req, now - j->started);
     end_job(j, &r);
 }
 
+/* Aborts the runs that the instance did not end at their deadline. */
 static void
 abort_overdue_runs(Relay *n, int64_t now)
 {
@@ -329,6 +332,7 @@
     others = remote_demand(n);
     SpAdmission_Update(&n->admission, now, &n->limiter, &others);
     abort_overdue_runs(n, now);
+    tick_capacity(n, now);
     while ((late = SpLimiter_DequeueLate(&n->limiter, now)) != NULL) {
         refuse_job(late->user, SP_LATE);
     }
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -43,6 +43,12 @@
     put(s, "instance_queued", n->limiter.queued);
     put(s, "instance_limit", n->limiter.limit);
     put(s, "instance_takes", l.accepts);
+    if (n->learns && n->inst.last.slots > 0) {
+        put(s, "instance_capacity", SpCapacity_Limit(&n->capacity));
+        put(s, "instance_run_floor_seconds",
+            SpCapacity_Floor(&n->capacity) / SP_SEC);
+        put(s, "runs_overdue_total", (double)n->counters.jobs_overdue);
+    }
     put(s, "config_version", n->routes ? (double)n->routes->version : 0);
     put(s, "nodes_linked", count_links(n));
     put(s, "store_followed", follows_store(n));
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -8,6 +8,7 @@
  *   instance.c  the local instance: its state, the queue and end of its jobs
  *   run.c       their runs
  *   reports.c   its reports
+ *   capacity.c  its learned capacity
  *   check.c     status checks of the local instance
  *   fair.c      fair shares between workspaces
  *   link.c      connections to the other relays (link.h: shared definitions)
@@ -34,6 +35,7 @@
 #define SP_RELAY_H
 
 #include "conf/conf.h"
+#include "flow/capacity.h"
 #include "flow/directory.h"
 #include "flow/fairshare.h"
 #include "flow/retryparts.h"
@@ -64,6 +66,7 @@
     double memory_mb; /* memory that the process may use */
     int max_fds; /* descriptors that it may open; 0: what the system allows */
     int first_start; /* 1: all nodes start for the first time, together */
+    char capacity[16]; /* of the instance: announced or learned */
 } SpRelaySettings;
 
 /* SpRelaySettings_Load adds problems to ps and returns 0 if there are any. */
@@ -118,7 +121,12 @@
     int64_t started;
     uint64_t conn;  /* number of the connection to the instance */
     int ndiscarded; /* responses on its connection that were not its own */
-    GString *head;  /* owned; without the headers of the last hop */
+    SpCapacityRun run;
+    int overdue;          /* 1: it takes no room at the instance any more */
+    int nested_open;      /* its nested calls in progress */
+    int64_t nested_since; /* while there are any */
+    int64_t nested_us;    /* time of its earlier nested calls */
+    GString *head;        /* owned; without the headers of the last hop */
     const char *body;
     size_t body_len;
     char *body_copy; /* copy of the body; NULL if the owner keeps it, or once
@@ -176,6 +184,7 @@
 typedef struct RelayCounters {
     uint64_t calls, answered, refused, failed, timed_out, disconnected;
     uint64_t retries, sent_same_zone, sent_other_zones, jobs, jobs_refused;
+    uint64_t jobs_overdue;  /* not expected to be answered any more */
     uint64_t jobs_rejected; /* the instance said that it did not run them */
     uint64_t refused_fair;  /* for the part of their workspace only */
     uint64_t refusals_unstated; /* answers with the status of a refusal that do
@@ -200,6 +209,9 @@
     SpRoutes *routes;
     Instance inst;
     SpLimiter limiter;
+    int learns; /* 1: the limit is learned, by capacity */
+    SpCapacity capacity;
+    double capacity_logged; /* learned limit in the last log line */
     SpAdmission admission;
     SpUpstream self;
     GHashTable *jobs_by_id;
@@ -257,6 +269,8 @@
 /* drop_job cancels a job without calling done. A run in progress that is not
    idempotent continues to its end. */
 void drop_job(Job *j);
+/* abort_run ends a run that the instance has not answered. */
+void abort_run(Job *j, int64_t now);
 void tick_instance(Relay *n, int64_t now);
 /* lower_deadline lowers the deadline of a job that waits in the queue; a run
    in progress keeps its own. */
@@ -272,6 +286,17 @@
 /* run.c: sends the job to the instance; its answer ends the job. */
 void run_job(Job *j);
 
+/* capacity.c: the learned capacity of the instance */
+void begin_capacity(Relay *n, int slots);
+/* set_slots sets the announced slots of the instance. */
+void set_slots(Relay *n, int slots);
+void start_capacity_run(Job *j);
+void end_capacity_run(Job *j, SpRunEnd end);
+/* nested_began and nested_ended count the calls that a job's run makes. */
+void nested_began(Job *j);
+void nested_ended(Job *j);
+void tick_capacity(Relay *n, int64_t now);
+
 /* check.c */
 void tick_check(Relay *n, int64_t now);
 
--- a/relay/reports.c
+++ b/relay/reports.c
@@ -33,6 +33,7 @@
     memset(&n->inst, 0, sizeof n->inst);
     n->inst.known = 1;
     n->inst.last = *r;
+    begin_capacity(n, r->slots);
     SpPool_CloseIdle(n->pool);
     SpLog(SP_LOG_INFO, "instance-up",
           "instance=%s start_ms=%" PRId64 " slots=%d warmup_ms=%" PRId64,
@@ -99,7 +100,7 @@
     if (!r->partial) {
         i->last = *r;
         i->unreachable = 0;
-        SpLimiter_SetSlots(&n->limiter, r->slots);
+        set_slots(n, r->slots);
     }
     i->last_seen = now;
     if (r->phase != SP_INST_READY && !i->leaving_since) {
--- a/relay/run.c
+++ b/relay/run.c
@@ -81,6 +81,18 @@
     return reply->refuses ? SP_BROKEN : SP_OK;
 }
 
+/* What the result says of the capacity. An answer of 5xx may have taken any
+   time, for instance that of the deadline. */
+static SpRunEnd
+run_end(const Result *r)
+{
+    if (r->reached && r->outcome == SP_NOT_RUN) {
+        return SP_RUN_REJECTED;
+    }
+    return r->kind == SP_OK && r->status < 500 ? SP_RUN_ANSWERED
+                                               : SP_RUN_NO_NEWS;
+}
+
 static void
 on_answer(void *data, SpPoolStatus end, const SpMsg *m, const char *why)
 {
@@ -127,6 +139,7 @@
         }
     }
     Metrics_Time(n->metrics, METRIC_RUN, ran);
+    end_capacity_run(j, run_end(&r));
     SpLimiter_End(&n->limiter, now, &j->req,
                   r.kind == SP_OK && m->status < 500 ? ran : -1);
     if (end != SP_POOL_OK) {
@@ -149,6 +162,7 @@
     SpPoolRequest o = {.match = match_reply, .done = on_answer, .data = j};
 
     j->started = now;
+    start_capacity_run(j);
     Metrics_Time(n->metrics, METRIC_WAIT, now - j->req.arrived);
     n->adapter->write_tail(j->head,
                            MAX(j->req.deadline - now, MIN_LEFT_MS * SP_MS),
--- a/relay/settings.c
+++ b/relay/settings.c
@@ -45,6 +45,7 @@
     REAL(memory_mb, 16, 65536),
     {"max_fds", SpRead_Int, OFF(max_fds), 0, 0, 1 << 24, 0, NULL},
     BOOL(first_start),
+    NAME(capacity, 0),
     {NULL, NULL, 0, 0, 0, 0, 0, NULL}};
 
 int
@@ -63,6 +64,7 @@
     s->retry_slack = 10;
     s->retry_window_s = 10;
     s->memory_mb = 256;
+    g_strlcpy(s->capacity, "announced", sizeof s->capacity);
     if (!j) {
         return 0;
     }
@@ -70,6 +72,10 @@
     if (!SpLevel_Parse(s->log_level, &level)) {
         SpProblems_Add(ps, "log_level", "must be error, warn, info or debug");
     }
+    if (strcmp(s->capacity, "announced") != 0 &&
+        strcmp(s->capacity, "learned") != 0) {
+        SpProblems_Add(ps, "capacity", "must be announced or learned");
+    }
     json_decref(j);
     return SpProblems_Count(ps) == before;
 }
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -378,6 +378,7 @@
     g_queue_init(&n->calls);
     n->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
     SpLimiter_Init(&n->limiter);
+    n->learns = strcmp(n->settings.capacity, "learned") == 0;
     SpAdmission_Init(&n->admission);
     limit_memory(n);
     n->http = SpHttpServer_New(n->loop, &limits, &ho);
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -47,6 +47,7 @@
  "ready": "$ip:7404", "link": "$ip:7405", "metrics": "$ip:7407",
  "store": "$STORE", "report_s": ${REPORT_S:-0.2}, "drain_s": 2, "stop_s": ${STOP_S:-4},
  "retry_ratio": 0.2, "retry_slack": 400, "retry_window_s": 10,
+ "capacity": "${CAPACITY:-announced}",
  "memory_mb": ${MEMORY_MB:-256}, "first_start": ${FIRST_START:-false}}
 END
 }
