flow: what became of overdue runs decides when a run is overdue

Long runs that were given up were never seen to be answered, so that ever shorter ones were overdue; and runs lost at an earlier limit were held against the one on trial.

--- a/flow/capacity.c
+++ b/flow/capacity.c
@@ -7,8 +7,7 @@
 /* Part of the announced slots to use at most. */
 #define SLOTS_SHARE 0.95
 #define STEP_US (20 * SP_MS)
-#define RUN_WEIGHT 0.05
-#define SLOWEST_DECAY 0.998
+#define RUN_WEIGHT 0.02
 /* A run time counts as this many floors at most. */
 #define MAX_RATIO 3.0
 /* Steps of the floor: run times in one, its weight downwards and upwards. */
@@ -19,17 +18,20 @@
 #define WEIGHT_RUNS 64
 /* Runs started below this part of the limit show the floor. */
 #define LOW_SHARE 0.5
-/* A run is overdue after this many of the slowest run times of its route, once
-   this many later runs of it have been answered. */
-#define OVERDUE_RATIO 2.0
+/* A run is overdue after `patience` mean run times of its route, once this
+   many later runs of it have been answered. */
 #define OVERTAKEN 50
 #define OVERDUE_US (250 * SP_MS)
-/* The same in mean run times, while more than that share are lost. */
-#define LOST_RATIO 4.0
-#define LOST_SHARE 0.1
-#define LOST_WEIGHT 0.02
-/* Share of lost runs that take places. */
-#define LOSING_SHARE 0.05
+#define FIRST_PATIENCE 10.0
+#define MIN_PATIENCE 3.0
+#define MAX_PATIENCE 40.0
+/* One of so many overdue runs is waited for, to see whether it is answered. Of
+   these, an answered one raises the patience, a lost one lowers it. */
+#define WAITED_FOR 8
+#define PATIENCE_UP 2.0
+#define PATIENCE_DOWN 0.9
+/* Time since the last lost run in which others may still take places. */
+#define LOSING_US (2 * SP_SEC)
 /* Requests never answered are remembered for this time. */
 #define LOST_MEMORY_US (30 * SP_SEC)
 
@@ -44,6 +46,7 @@
 {
     memset(c, 0, sizeof *c);
     SpTrial_Begin(&c->trial, cap_of(slots));
+    c->patience = FIRST_PATIENCE;
 }
 
 void
@@ -84,6 +87,7 @@
     r->route = route_index(c, route);
     r->ahead = ahead;
     r->answered = c->routes[r->route].answered;
+    r->overdue = 0;
 }
 
 /* Only runs that started at low concurrency show the floor: it would follow
@@ -117,7 +121,6 @@
     r->answered++;
     r->mean_us +=
         MAX(RUN_WEIGHT, 1.0 / (double)r->answered) * (us - r->mean_us);
-    r->slowest_us = MAX(us, SLOWEST_DECAY * r->slowest_us);
     if (run->ahead < LOW_SHARE * c->trial.limit) {
         update_floor(r, us);
     }
@@ -133,6 +136,28 @@
     }
 }
 
+static void
+change_patience(SpCapacity *c, double factor)
+{
+    c->patience = CLAMP(factor * c->patience, MIN_PATIENCE, MAX_PATIENCE);
+}
+
+/* A run that began beyond the present limit says nothing of that. */
+static void
+count_failed(SpCapacity *c, const SpCapacityRun *r)
+{
+    if (r->ahead < SpTrial_Limit(&c->trial)) {
+        c->since.failed++;
+    }
+}
+
+static void
+count_lost(SpCapacity *c, int64_t now, const SpCapacityRun *r)
+{
+    count_failed(c, r);
+    c->lost_at = now;
+}
+
 void
 SpCapacity_Ended(SpCapacity *c, int64_t now, const SpCapacityRun *r,
                  SpRunEnd end, int64_t own_us)
@@ -140,30 +165,28 @@
     if (r->route >= c->nroutes) {
         return; /* of an earlier lifetime */
     }
-    if (end == SP_RUN_NO_NEWS ||
-        (end == SP_RUN_LOST &&
-         (double)own_us < LOST_RATIO * c->routes[r->route].mean_us)) {
-        return;
-    }
-    c->lost_share += LOST_WEIGHT * ((end == SP_RUN_LOST) - c->lost_share);
-    if (end == SP_RUN_ANSWERED) {
+    switch (end) {
+    case SP_RUN_ANSWERED:
         count_answer(c, r, (double)own_us);
+        if (r->overdue) {
+            change_patience(c, PATIENCE_UP);
+        }
+        break;
+    case SP_RUN_REJECTED:
+        count_failed(c, r);
+        break;
+    case SP_RUN_LOST:
+        if ((double)own_us < MIN_PATIENCE * c->routes[r->route].mean_us) {
+            return;
+        }
+        change_patience(c, PATIENCE_DOWN);
+        if (!r->overdue) {
+            count_lost(c, now, r);
+        }
+        break;
+    case SP_RUN_NO_NEWS:
+        break;
     }
-    else {
-        c->since.failed++;
-        c->lost_at = end == SP_RUN_LOST ? now : c->lost_at;
-    }
-}
-
-static double
-overdue_us(const SpCapacity *c, const SpCapacityRoute *r)
-{
-    double us = OVERDUE_RATIO * r->slowest_us;
-
-    if (c->lost_share > LOST_SHARE) {
-        us = MIN(us, LOST_RATIO * r->mean_us);
-    }
-    return MAX(us, OVERDUE_US);
 }
 
 int
@@ -172,9 +195,17 @@
 {
     const SpCapacityRoute *route = &c->routes[r->route];
 
-    return r->route < c->nroutes &&
+    return r->route < c->nroutes && !r->overdue && own_us > OVERDUE_US &&
            route->answered > r->answered + (uint64_t)r->ahead + OVERTAKEN &&
-           (double)own_us > overdue_us(c, route);
+           (double)own_us > c->patience * route->mean_us;
+}
+
+int
+SpCapacity_Overdue(SpCapacity *c, int64_t now, SpCapacityRun *r)
+{
+    r->overdue = 1;
+    count_lost(c, now, r);
+    return ++c->overdue % WAITED_FOR != 0;
 }
 
 /* Takes the present run times for the unknown floors: they don't depend on the
@@ -192,13 +223,28 @@
     }
 }
 
+/* For how long a request that is not answered takes a place. */
+static double
+losing_us(const SpCapacity *c, int64_t now)
+{
+    double us = 0;
+    int i;
+
+    if (!c->lost_at || now - c->lost_at > LOSING_US) {
+        return 0;
+    }
+    for (i = 0; i < c->nroutes; i++) {
+        us = MAX(us, c->patience * c->routes[i].mean_us);
+    }
+    return us;
+}
+
 int
 SpCapacity_Step(SpCapacity *c, int64_t now, int running, int queued)
 {
     double was = SpTrial_Limit(&c->trial), learned = c->trial.limit;
     double elapsed = (double)(now - c->at);
-    SpTrialStep s = {now, c->since, running, queued,
-                     c->lost_share > LOSING_SHARE};
+    SpTrialStep s = {now, c->since, running, queued, losing_us(c, now)};
 
     if (c->trial.cap <= 0 || (c->at && elapsed < STEP_US)) {
         return 0;
--- a/flow/capacity.h
+++ b/flow/capacity.h
@@ -29,11 +29,10 @@
     guint hash; /* of its name */
     char name[SP_FLOW_NAME];
     uint64_t answered;
-    double mean_us;    /* smoothed run time */
-    double weight_us;  /* of its runs among those of all routes */
-    double floor_us;   /* run time at low concurrency; 0: unknown */
-    double slowest_us; /* longest run time of late, forgotten slowly */
-    double window_us;  /* sum of run times for the next step of floor_us */
+    double mean_us;   /* smoothed run time */
+    double weight_us; /* of its runs among those of all routes */
+    double floor_us;  /* run time at low concurrency; 0: unknown */
+    double window_us; /* sum of run times for the next step of floor_us */
     int window_n;
 } SpCapacityRoute;
 
@@ -43,7 +42,8 @@
     int nroutes;
     SpTrialView since; /* the last step */
     int64_t at;        /* time of the last step; 0: none */
-    double lost_share; /* of the runs that ended, smoothed */
+    uint64_t overdue;  /* number of overdue runs */
+    double patience;   /* mean run times after which a run is overdue */
     int64_t lost_at;   /* time of the last request never answered; 0: none */
 } SpCapacity;
 
@@ -52,6 +52,7 @@
     int route;
     int ahead;         /* requests running at its start */
     uint64_t answered; /* of its route at its start */
+    int overdue;
 } SpCapacityRun;
 
 typedef enum {
@@ -73,9 +74,12 @@
                       SpRunEnd end, int64_t own_us);
 /* SpCapacity_IsOverdue returns 1 if an unanswered run, after own_us without
    nested calls, is not expected to be answered: many later ones of its route
-   were, in much less time. It takes less time while many are lost. */
+   were, in much less time. What became of earlier ones decides how much. */
 int SpCapacity_IsOverdue(const SpCapacity *c, const SpCapacityRun *r,
                          int64_t own_us);
+/* SpCapacity_Overdue records that a run is overdue. It returns 1 if it may be
+   given up; some are to be waited for, to see whether they are answered. */
+int SpCapacity_Overdue(SpCapacity *c, int64_t now, SpCapacityRun *r);
 /* SpCapacity_Step is called periodically; returns 1 if a limit has changed. */
 int SpCapacity_Step(SpCapacity *c, int64_t now, int running, int queued);
 /* SpCapacity_Limit returns the learned limit. */
--- a/relay/capacity.c
+++ b/relay/capacity.c
@@ -82,7 +82,7 @@
 {
     int64_t now = SpHttp_Now();
 
-    if (!j->n->learns || !j->started || (j->overdue && end == SP_RUN_LOST)) {
+    if (!j->n->learns || !j->started) {
         return;
     }
     SpCapacity_Ended(&j->n->capacity, now, &j->run, end, own_time(j, now));
@@ -102,23 +102,22 @@
     run_next(n);
 }
 
-/* An overdue run takes no room any more. One that may not be repeated, or has
-   no time for it, keeps its connection and waits on. */
+/* An overdue run takes no room any more. One that may not be repeated, has no
+   time for it, or is to show whether it is answered, waits on. */
 static void
 end_overdue(Job *j, int64_t now)
 {
     Relay *n = j->n;
     int64_t needed = (int64_t)(MIN_RUNS_LEFT * n->limiter.run_us);
-    int again =
-        j->idempotent && !j->is_retry && j->req.deadline - now > needed;
+    int again = SpCapacity_Overdue(&n->capacity, now, &j->run) &&
+                j->idempotent && !j->is_retry &&
+                j->req.deadline - now > needed;
 
     SpLog(SP_LOG_INFO, "run-overdue",
           "id=%s route=%s instance=%s again=%d conn=%" PRIu64 " ms=%" PRId64,
           j->id, j->route, n->inst.last.id, again, j->conn,
           (now - j->started) / SP_MS);
     n->counters.jobs_overdue++;
-    end_capacity_run(j, SP_RUN_LOST);
-    j->overdue = 1;
     SpLimiter_End(&n->limiter, now, &j->req, -1);
     if (again) {
         give_up(j);
@@ -133,7 +132,7 @@
     for (k = n->jobs.head; k; k = next) {
         Job *j = k->data;
         next = k->next;
-        if (j->x && !j->overdue && !j->nested_open &&
+        if (j->x && !j->nested_open &&
             SpCapacity_IsOverdue(&n->capacity, &j->run, own_time(j, now))) {
             end_overdue(j, now);
         }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -122,7 +122,6 @@
     uint64_t conn;  /* number of the connection to the instance */
     int ndiscarded; /* responses on its connection that were not its own */
     SpCapacityRun run;
-    int overdue;          /* 1: it takes no room at the instance any more */
     int nested_open;      /* its nested calls in progress */
     int64_t nested_since; /* while there are any */
     int64_t nested_us;    /* time of its earlier nested calls */
