--- a/flow/trial.c
+++ b/flow/trial.c
@@ -253,9 +253,13 @@
     double error, least;
     Result r;
 
+    if (t->reason == SP_TRIAL_UP && is_failing_more(t)) {
+        end_unchanged(t, now);
+        return 0;
+    }
     if (b->answered + b->failed <
         (t->reason == SP_TRIAL_FAILED ? MIN_SEEN : MIN_TRIED)) {
-        if (over || (t->reason == SP_TRIAL_UP && is_failing_more(t))) {
+        if (over) {
             end_unchanged(t, now);
         }
         return 0;
