--- a/relay/relay.h
+++ b/relay/relay.h
@@ -65,7 +65,7 @@
     char log_level[16];
     double memory_mb; /* memory that the process may use */
     int max_fds; /* descriptors that it may open; 0: what the system allows */
-    int first_start; /* 1: all nodes start for the first time, together */
+    int first_start;   /* 1: all nodes start for the first time, together */
     char capacity[16]; /* of the instance: announced or learned */
 } SpRelaySettings;
 
