test: the soak starts a killed process again when it has ended

Change: after SIGKILL the script waits until the process has ended, 5 s at most. A relay that ends by itself is reported as before.

--- a/test/faults.sh
+++ b/test/faults.sh
@@ -71,6 +71,13 @@
 }
 
 pid_of() { cat "$DIR/$1.pid"; }
+is_gone() { [ ! -e "/proc/$1" ] || grep -q '^State:.*Z' "/proc/$1/status"; }
+kill_at_once() { # PROCESS: until its addresses are free
+    local p
+    p=$(pid_of "$1")
+    kill -9 "$p" 2>/dev/null
+    until_ok 5 is_gone "$p"
+}
 sleep_briefly() { sleep "$((RANDOM % 2)).$((RANDOM % 10))"; }
 
 caller() { # N: sends requests until the end, records the answers
@@ -138,7 +145,7 @@
     0 | 1) # a relay is killed
         n=$(pick $FRONTS $BACKS)
         take "$n" || return
-        kill -9 "$(pid_of "relay-$n")" 2>/dev/null
+        kill_at_once "relay-$n"
         sleep_briefly
         relay "$n"
         give_back "$n"
@@ -166,7 +173,7 @@
         ;;
     5) # an instance is killed
         n=$(pick $BACKS)
-        kill -9 "$(pid_of "inst-$n")" 2>/dev/null
+        kill_at_once "inst-$n"
         sleep_briefly
         restart_instance "$n"
         ;;
