--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -8,8 +8,8 @@
    response; returns 0 if none came. */
 int ctl_fetch(const char *node, const char *method, const char *path,
               const char *body);
-/* ctl_ask gets a path from the node of -n; returns 0 and says so if no response
-   came. */
+/* ctl_ask gets a path from the node of -n; returns 0 and says so if no
+   response came. */
 int ctl_ask(const char *path);
 /* Status and body of the last response. */
 int ctl_status(void);
