flow: fair shares by the demand of all nodes, queue by virtual clock

In the queue, start-time fair queueing parts two requests of a small workspace that come by chance together, by a round of all others. At the entry, the level came from a node's own requests, so that a workspace had another probability at each node, and natural differences of use were acted on; refused requests come again, which looks like more use.

Change: flow/fairqueue.c is a virtual clock: order of arrival, unless a workspace has had more arrivals than its part and four more. flow/fairshare.c: the level comes from the demand of all nodes, with the quotas of all workspaces; uses within 1.5 of the usual one count as usual.

Tests: "turns" and "weights" asked for the exact order of start-time fair queueing; they now ask that a newcomer passes all but ten of forty waiting requests of a flood, and for parts within one in a hundred over 4,000. "entry, ranks" plays 60 s instead of 20, since its least one of 40 was within its noise of the bound. fair.t has ten workspaces: of two, each is entitled to half of the queue.

--- a/flow/fairqueue.c
+++ b/flow/fairqueue.c
@@ -1,10 +1,15 @@
-/* Queue that workspaces take turns in: start-time fair queueing. */
+/* Queue that workspaces share: virtual clock. */
 #include <string.h>
 
 #include "flow/fairqueue.h"
 
-/* Maximum number of idle flows that are remembered. */
-#define MAX_IDLE 1024
+/* Idle workspaces are forgotten when more than this many are known. */
+#define MAX_FLOWS 1024
+/* Requests by which an account may be ahead without a later tag. */
+#define TOLERATED 4
+/* An account is ahead by this many times the length of the queue at most. */
+#define MAX_AHEAD 4
+#define MIN_PART 1e-5
 /* Weight of one sample in the smoothed gap. */
 #define GAP_WEIGHT 0.2
 
@@ -13,7 +18,7 @@
 {
     memset(q, 0, sizeof *q);
     g_queue_init(&q->items);
-    g_queue_init(&q->unnamed.items);
+    q->unnamed.part = 1;
 }
 
 static void
@@ -30,44 +35,34 @@
 {
     if (q->flows) {
         g_hash_table_destroy(q->flows);
-        g_sequence_free(q->active);
-        g_sequence_free(q->idle);
+        g_sequence_free(q->order);
     }
     SpFairQueue_Init(q);
 }
 
-static uint64_t
-first_number(const SpFairFlow *f)
-{
-    const SpFairItem *i = g_queue_peek_head((GQueue *)&f->items);
-
-    return i ? i->number : UINT64_MAX;
-}
-
 static gint
-compare_flows(gconstpointer a, gconstpointer b, gpointer unused)
+compare_items(gconstpointer a, gconstpointer b, gpointer unused)
 {
-    const SpFairFlow *f = a, *g = b;
-    uint64_t m, n;
+    const SpFairItem *x = a, *y = b;
 
     (void)unused;
-    if (f->tag < g->tag || f->tag > g->tag) {
-        return f->tag < g->tag ? -1 : 1;
+    if (x->tag < y->tag || x->tag > y->tag) {
+        return x->tag < y->tag ? -1 : 1;
     }
-    m = first_number(f);
-    n = first_number(g);
-    return m < n ? -1 : m > n;
+    return x->number < y->number ? -1 : x->number > y->number;
 }
 
-/* The tables of named flows, made when the first name comes. */
+/* The tables, made when the first name comes. */
 static void
 make_tables(SpFairQueue *q)
 {
+    GList *k;
+
     q->flows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_flow);
-    q->active = g_sequence_new(NULL);
-    q->idle = g_sequence_new(NULL);
-    if (q->unnamed.items.length) {
-        q->unnamed.at = g_sequence_append(q->active, &q->unnamed);
+    q->order = g_sequence_new(NULL);
+    for (k = q->items.head; k; k = k->next) {
+        SpFairItem *i = k->data;
+        i->at = g_sequence_append(q->order, i);
     }
 }
 
@@ -77,13 +72,16 @@
     return workspace && *workspace;
 }
 
-static const SpFairFlow *
-find_flow(const SpFairQueue *q, const char *workspace)
+static gboolean
+is_idle(gpointer name, gpointer flow, gpointer queue)
 {
-    if (!is_named(workspace)) {
-        return &q->unnamed;
-    }
-    return q->flows ? g_hash_table_lookup(q->flows, workspace) : NULL;
+    const SpFairFlow *f = flow;
+    const SpFairQueue *q = queue;
+
+    (void)name;
+    return f->items == 0 &&
+           (q->items.length == 0 || f->account <= (double)q->arrivals ||
+            g_hash_table_size(q->flows) > 2 * MAX_FLOWS);
 }
 
 static SpFairFlow *
@@ -99,6 +97,9 @@
     }
     f = g_hash_table_lookup(q->flows, workspace);
     if (!f) {
+        if (g_hash_table_size(q->flows) >= MAX_FLOWS) {
+            g_hash_table_foreach_remove(q->flows, is_idle, q);
+        }
         f = g_new0(SpFairFlow, 1);
         f->name = g_strdup(workspace);
         g_hash_table_insert(q->flows, f->name, f);
@@ -106,114 +107,67 @@
     return f;
 }
 
-static void
-unlist_flow(SpFairFlow *f)
+/* Tag of the next item of a flow; f is NULL for one that is not known. */
+static double
+next_tag(const SpFairQueue *q, const SpFairFlow *f, double part)
 {
-    if (f->at) {
-        g_sequence_remove(f->at);
-        f->at = NULL;
+    double number = (double)q->arrivals, tag;
+
+    if (!f || !f->name) {
+        return number;
     }
+    tag = f->account - TOLERATED / part;
+    return CLAMP(tag, number, number + MAX_AHEAD * (q->items.length + 1.0));
 }
 
-/* The tag, bounded to the time at which length items will have been served. */
 static double
-bound_tag(const SpFairQueue *q, double tag, guint length, double weights)
-{
-    return CLAMP(tag, q->now, q->now + length / weights);
-}
-
-static void
-list_active(SpFairQueue *q, SpFairFlow *f)
+part_of(double part)
 {
-    f->tag = bound_tag(q, f->tag, q->items.length, q->weights);
-    if (q->active) {
-        f->at = g_sequence_insert_sorted(q->active, f, compare_flows, NULL);
-    }
+    return part > 0 ? CLAMP(part, MIN_PART, 1) : 1;
 }
 
 void
 SpFairQueue_Push(SpFairQueue *q, SpFairItem *i, const char *workspace,
-                 double weight)
+                 double part)
 {
     SpFairFlow *f = get_flow(q, workspace);
+    double number = (double)q->arrivals;
 
+    if (f->name) {
+        f->part = part_of(part);
+    }
     i->flow = f;
-    i->number = q->next_number++;
+    i->number = q->arrivals;
+    i->tag = next_tag(q, f, f->part);
+    f->account = MAX(f->account, number) + 1 / f->part;
+    f->account = MIN(f->account, number + TOLERATED / f->part +
+                                     MAX_AHEAD * (q->items.length + 1.0));
+    q->arrivals++;
     i->link = (GList){.data = i};
-    i->flow_link = (GList){.data = i};
     g_queue_push_tail_link(&q->items, &i->link);
-    g_queue_push_tail_link(&f->items, &i->flow_link);
-    if (f->items.length > 1) {
-        return;
-    }
-    unlist_flow(f);
-    f->weight = weight > 0 ? weight : 1;
-    q->weights += f->weight;
-    list_active(q, f);
-}
-
-static void
-forget_flow(SpFairQueue *q, SpFairFlow *f)
-{
-    unlist_flow(f);
-    g_hash_table_remove(q->flows, f->name);
-}
-
-/* Forgets idle flows whose tag has passed. When nothing waits, all begin
-   anew. */
-static void
-trim_idle(SpFairQueue *q)
-{
-    int all = q->items.length == 0;
-
-    while (q->idle && !g_sequence_is_empty(q->idle)) {
-        SpFairFlow *f = g_sequence_get(g_sequence_get_begin_iter(q->idle));
-        if (!all && f->tag > q->now &&
-            g_sequence_get_length(q->idle) <= MAX_IDLE) {
-            break;
-        }
-        forget_flow(q, f);
-    }
-    if (all) {
-        q->now = q->weights = q->unnamed.tag = 0;
-    }
-}
-
-/* Lists a flow again after its first item was removed. */
-static void
-relist_flow(SpFairQueue *q, SpFairFlow *f)
-{
-    unlist_flow(f);
-    if (f->items.length) {
-        list_active(q, f);
-        return;
-    }
-    q->weights -= f->weight;
-    f->taken_at = 0;
-    f->gap = 0;
-    if (f->name) {
-        f->at = g_sequence_insert_sorted(q->idle, f, compare_flows, NULL);
-    }
-    trim_idle(q);
-}
-
-static void
-unlink_item(SpFairQueue *q, SpFairItem *i)
-{
-    g_queue_unlink(&q->items, &i->link);
-    g_queue_unlink(&i->flow->items, &i->flow_link);
-    i->flow = NULL;
+    f->items++;
+    i->at = q->order
+                ? g_sequence_insert_sorted(q->order, i, compare_items, NULL)
+                : NULL;
 }
 
 void
 SpFairQueue_Remove(SpFairQueue *q, SpFairItem *i)
 {
     SpFairFlow *f = i->flow;
-    int is_first = f->items.head == &i->flow_link;
 
-    unlink_item(q, i);
-    if (is_first) {
-        relist_flow(q, f);
+    g_queue_unlink(&q->items, &i->link);
+    if (i->at) {
+        g_sequence_remove(i->at);
+        i->at = NULL;
+    }
+    i->flow = NULL;
+    if (--f->items == 0) {
+        f->taken_at = 0;
+        f->gap = 0;
+    }
+    if (!q->items.length && q->flows) {
+        g_hash_table_foreach_remove(q->flows, is_idle, q);
     }
 }
 
@@ -235,54 +189,34 @@
 SpFairItem *
 SpFairQueue_Take(SpFairQueue *q)
 {
-    SpFairFlow *f = &q->unnamed;
     SpFairItem *i;
 
     if (!q->items.length) {
         return NULL;
     }
-    if (q->active) {
-        f = g_sequence_get(g_sequence_get_begin_iter(q->active));
-    }
-    i = f->items.head->data;
-    q->now = f->tag;
-    f->tag += 1 / f->weight;
-    unlink_item(q, i);
-    count_take(q, f);
-    relist_flow(q, f);
+    i = q->order ? g_sequence_get(g_sequence_get_begin_iter(q->order))
+                 : q->items.head->data;
+    count_take(q, i->flow);
+    SpFairQueue_Remove(q, i);
     return i;
 }
 
-/* Active flows other than f whose first item is due by the tag. */
-static guint
-count_due(const SpFairQueue *q, const SpFairFlow *f, double tag)
-{
-    SpFairFlow key = {.tag = tag};
-    guint n;
-
-    n = (guint)g_sequence_iter_get_position(
-        g_sequence_search(q->active, &key, compare_flows, NULL));
-    return n - (f && f->items.length && f->tag <= tag ? 1 : 0);
-}
-
 guint
-SpFairQueue_Ahead(const SpFairQueue *q, const char *workspace, double weight)
+SpFairQueue_Ahead(const SpFairQueue *q, const char *workspace, double part)
 {
     const SpFairFlow *f;
-    double tag, due, rivals;
-    guint own;
+    SpFairItem key = {.number = UINT64_MAX};
+    double due;
 
-    if (!q->active) {
+    if (!q->order) {
         return q->items.length;
     }
-    f = find_flow(q, workspace);
-    own = f ? f->items.length : 0;
-    rivals = q->weights - (own ? f->weight : 0);
-    weight = own ? f->weight : weight > 0 ? weight : 1;
-    tag = own ? f->tag + own / weight
-              : bound_tag(q, f ? f->tag : 0, q->items.length + 1,
-                          q->weights + weight);
-    due = count_due(q, f, tag) + MAX(rivals, 0) * (tag - q->now);
-    due = own + MIN(due, q->items.length - own);
-    return (guint)(own ? MAX(due, own * f->gap) : due);
+    f = is_named(workspace) ? g_hash_table_lookup(q->flows, workspace) : NULL;
+    key.tag = next_tag(q, f, part_of(part));
+    due = g_sequence_iter_get_position(
+        g_sequence_search(q->order, &key, compare_items, NULL));
+    if (f && key.tag > (double)q->arrivals) {
+        due = MAX(due, f->items * f->gap);
+    }
+    return (guint)due;
 }
--- a/flow/fairshare.c
+++ b/flow/fairshare.c
@@ -14,10 +14,12 @@
 #define WAYS 4
 /* A use beyond this many times the mean doesn't count for the usual one. */
 #define MUCH 2.0
+/* A use within this factor of the usual one counts as usual. */
+#define BAND 1.5
 /* Histogram of the uses: STEPS buckets for each doubling, from MIN_USE on. */
-#define STEPS 4
+#define STEPS 8
 #define MIN_USE 0.125
-#define BUCKETS 40
+#define BUCKETS 80
 /* How often the histograms are made anew. */
 #define STEP_US (100 * SP_MS)
 /* A workspace with fewer requests is left out of them. */
@@ -36,7 +38,7 @@
     uint32_t key;   /* 0: free */
     uint32_t fresh; /* own requests since the last report */
     int group;      /* in flow/fairlift.h, as of the last request */
-    double weight;
+    double weight;  /* of its quota, relative to the mean */
     Count count;
 } Slot;
 
@@ -59,6 +61,7 @@
     uint32_t fresh;
     guint workspaces, nodes;
     double mean_rate;
+    GHashTable *rates; /* key to the quota in thousandths */
 };
 
 SpFairShare *
@@ -68,6 +71,7 @@
 
     fs->workspaces = fs->nodes = 1;
     fs->usual = 1;
+    fs->rates = g_hash_table_new(NULL, NULL);
     fs->unnamed.group = SP_FAIR_GROUPS - 1;
     return fs;
 }
@@ -75,26 +79,68 @@
 void
 SpFairShare_Free(SpFairShare *fs)
 {
+    g_hash_table_destroy(fs->rates);
     g_free(fs);
 }
 
 void
-SpFairShare_Configure(SpFairShare *fs, guint workspaces, double mean_rate)
+SpFairShare_SetNodes(SpFairShare *fs, guint nodes)
 {
-    fs->workspaces = MAX(workspaces, 1);
-    fs->mean_rate = mean_rate;
+    fs->nodes = MAX(nodes, 1);
 }
 
-void
-SpFairShare_SetNodes(SpFairShare *fs, guint nodes)
+/* What a quota entitles to, relative to the mean. */
+static double
+weight_of(const SpFairShare *fs, double rate)
 {
-    fs->nodes = MAX(nodes, 1);
+    return rate > 0 && fs->mean_rate > 0 ? rate / fs->mean_rate : 1;
 }
 
 double
-SpFairShare_Weight(const SpFairShare *fs, double rate)
+SpFairShare_Part(const SpFairShare *fs, double rate)
 {
-    return rate > 0 && fs->mean_rate > 0 ? rate / fs->mean_rate : 1;
+    return MIN(weight_of(fs, rate) / fs->workspaces, 1);
+}
+
+static uint32_t
+key_of(const char *workspace)
+{
+    uint32_t key = (uint32_t)SpHash(workspace, strlen(workspace), 0);
+
+    return key ? key : 1;
+}
+
+static double
+weight_of_key(const SpFairShare *fs, uint32_t key)
+{
+    return weight_of(fs, GPOINTER_TO_UINT(g_hash_table_lookup(
+                             fs->rates, GUINT_TO_POINTER(key))) /
+                             1000.0);
+}
+
+void
+SpFairShare_Configure(SpFairShare *fs, const SpFairQuota *list, guint n)
+{
+    double sum = 0;
+    guint i, rated = 0;
+    Slot *s;
+
+    fs->workspaces = MAX(n, 1);
+    g_hash_table_remove_all(fs->rates);
+    for (i = 0; i < n; i++) {
+        if (list[i].rate > 0) {
+            sum += list[i].rate;
+            rated++;
+            g_hash_table_insert(
+                fs->rates, GUINT_TO_POINTER(key_of(list[i].workspace)),
+                GUINT_TO_POINTER((guint)MIN(list[i].rate * 1000, 4e9)));
+        }
+    }
+    fs->mean_rate = rated ? sum / rated : 0;
+    for (i = 0; i < SETS * WAYS; i++) {
+        s = &fs->slots[i / WAYS][i % WAYS];
+        s->weight = weight_of_key(fs, s->key);
+    }
 }
 
 guint
@@ -151,14 +197,6 @@
     fs->reports_at = MAX(fs->reports_at, now);
 }
 
-static uint32_t
-key_of(const char *workspace)
-{
-    uint32_t key = (uint32_t)SpHash(workspace, strlen(workspace), 0);
-
-    return key ? key : 1;
-}
-
 static Slot *
 find_slot(SpFairShare *fs, int64_t now, uint32_t key)
 {
@@ -175,7 +213,8 @@
             least = &set[i];
         }
     }
-    *least = (Slot){.key = key, .weight = 1, .count.at = now};
+    *least =
+        (Slot){.key = key, .weight = weight_of_key(fs, key), .count.at = now};
     return least;
 }
 
@@ -215,7 +254,7 @@
 }
 
 /* The demand of a workspace against what it is entitled to, both as parts of
-   all; near the usual one where little is known. */
+   all; the usual one where little is known or the difference is small. */
 static double
 use_of(const SpFairShare *fs, const Slot *s)
 {
@@ -223,6 +262,7 @@
     double use = (demand_of(fs, &s->count) + fs->usual * prior) /
                  (due_of(fs, s->weight) + prior);
 
+    use = CLAMP(fs->usual, use / BAND, use * BAND);
     return CLAMP(use, MIN_USE, use_at(BUCKETS - 1));
 }
 
@@ -259,41 +299,50 @@
     return CLAMP(i, 0, BUCKETS - 1);
 }
 
+/* Counts the requests of this node by the rank of their workspace. */
 static void
-add_uses(SpFairShare *fs, int64_t now, Slot *s, double use)
+update_groups(SpFairShare *fs)
 {
-    int i, bucket = bucket_of(use);
+    const Slot *s;
+    int i, r;
 
-    fade_count(&s->count, now);
-    for (i = 0; i < SP_MAX_RANKS; i++) {
-        fs->uses[i].in[bucket] += s->count.own[i];
-        fs->uses[i].total += s->count.own[i];
-        fs->groups.of[s->group][i] += s->count.own[i];
+    memset(&fs->groups, 0, sizeof fs->groups);
+    for (i = -1; i < SETS * WAYS; i++) {
+        s = i < 0 ? &fs->unnamed : &fs->slots[i / WAYS][i % WAYS];
+        for (r = 0; r < SP_MAX_RANKS; r++) {
+            fs->groups.of[s->group][r] += s->count.own[r];
+        }
     }
 }
 
-/* Requests of workspaces that the table has no room for. */
-static Slot
-rest_of(const SpFairShare *fs)
+/* Adds the demand of a workspace to the ranks as those of its group are
+   distributed here, or all if it has sent nothing here. */
+static void
+add_uses(SpFairShare *fs, double demand, const Slot *s, double use)
 {
-    Slot rest = {.group = SP_FAIR_GROUPS - 1, .weight = 1, .count = fs->total};
-    int i;
+    const double *by_rank = fs->total.own;
+    int i, bucket = bucket_of(use);
+    double sum = 0;
 
+    if (own_count(&s->count) > MIN_COUNT) {
+        by_rank = fs->groups.of[s->group];
+    }
     for (i = 0; i < SP_MAX_RANKS; i++) {
-        rest.count.own[i] += fs->unnamed.count.own[i] - fs->uses[i].total;
-        rest.count.own[i] = MAX(rest.count.own[i], 0);
+        sum += by_rank[i];
+    }
+    for (i = 0; i < SP_MAX_RANKS && sum > 0; i++) {
+        fs->uses[i].in[bucket] += demand * by_rank[i] / sum;
+        fs->uses[i].total += demand * by_rank[i] / sum;
     }
-    rest.count.others = 0;
-    return rest;
 }
 
-/* Counts the requests of this node anew by the present use of their
-   workspaces. */
+/* Makes the histograms of what all nodes ask for, by the present uses. */
 static void
 update_uses(SpFairShare *fs, int64_t now)
 {
-    const Slot one = {.weight = 1, .count.own = {1}};
-    Slot *s, rest;
+    const Slot none = {0};
+    double demand, rest;
+    const Slot *s;
     int i;
 
     if (fs->uses_at && now - fs->uses_at < STEP_US) {
@@ -301,19 +350,23 @@
     }
     fs->uses_at = now;
     memset(fs->uses, 0, sizeof fs->uses);
-    memset(&fs->groups, 0, sizeof fs->groups);
     fade_count(&fs->total, now);
+    fade_count(&fs->unnamed.count, now);
     fs->usual = usual_use(fs, now);
-    add_uses(fs, now, &fs->unnamed, fs->usual);
+    update_groups(fs);
+    rest = demand_of(fs, &fs->total);
     for (i = 0; i < SETS * WAYS; i++) {
         s = &fs->slots[i / WAYS][i % WAYS];
-        if (own_count(&s->count) > MIN_COUNT) {
-            fade_count(&s->count, now);
-            add_uses(fs, now, s, use_of(fs, s));
+        demand = demand_of(fs, &s->count);
+        if (demand > MIN_COUNT) {
+            add_uses(fs, demand, s, use_of(fs, s));
+            rest -= demand;
         }
     }
-    rest = rest_of(fs);
-    add_uses(fs, now, &rest, use_of(fs, &one));
+    /* workspaces that reports or the table had no room for */
+    add_uses(fs, MAX(rest, 0), &none, fs->usual);
+    add_uses(fs, own_count(&fs->unnamed.count) * fs->nodes, &fs->unnamed,
+             fs->usual);
 }
 
 static double
@@ -346,44 +399,51 @@
 }
 
 static Slot *
-count_request(SpFairShare *fs, int64_t now, const SpFairRequest *r)
+slot_of(SpFairShare *fs, int64_t now, const SpFairRequest *r)
 {
-    int rank = SpRank_Index(r->rank);
     Slot *s = &fs->unnamed;
 
     if (r->workspace && *r->workspace) {
         s = find_slot(fs, now, key_of(r->workspace));
-        s->weight = SpFairShare_Weight(fs, r->rate);
         s->group = SpFairLift_Group(r->workspace_rank);
+    }
+    fade_count(&s->count, now);
+    return s;
+}
+
+static void
+count_request(SpFairShare *fs, int64_t now, Slot *s, int rank)
+{
+    s->count.own[rank]++;
+    if (s != &fs->unnamed) {
         s->fresh++;
         fs->fresh++;
         fade_count(&fs->total, now);
         fs->total.own[rank]++;
     }
-    fade_count(&s->count, now);
-    s->count.own[rank]++;
-    return s;
 }
 
 double
 SpFairShare_Admit(SpFairShare *fs, int64_t now, const SpFairRequest *r,
                   const SpShares *shares)
 {
-    const Slot *s = count_request(fs, now, r);
+    Slot *s = slot_of(fs, now, r);
     int rank = SpRank_Index(r->rank);
     const Uses *u = &fs->uses[rank];
     double share, least, use;
     SpFairLift lift;
 
+    use = s == &fs->unnamed ? fs->usual : use_of(fs, s);
+    count_request(fs, now, s, rank);
     update_uses(fs, now);
     lift = SpFairLift_Find(&fs->groups, shares);
     share = SpFairLift_Share(&lift, s->group, shares->of[rank]);
     if (share <= 0 || share >= 1 || u->total <= 0) {
         return share;
     }
-    use = s == &fs->unnamed ? fs->usual : use_of(fs, s);
     least = share * SpFairLift_LeastPart(&lift, s->group);
-    return probability(find_level(u, share, least), use, least);
+    return probability(find_level(u, share, least), use_at(bucket_of(use)),
+                       least);
 }
 
 /* Enters a workspace into the report, which is sorted by count. */
--- a/flow/fairshare.h
+++ b/flow/fairshare.h
@@ -7,15 +7,17 @@
  * others are refused for what that one sends.
  *
  * Each workspace gets min(1, level / use), where its use is its demand against
- * what it is entitled to, and the level is such that the requests of a rank
- * are admitted at the share of the rank in the mean. Unused room so goes to
- * those who ask.
+ * what it is entitled to, and the level is such that what all nodes ask for in
+ * a rank is admitted at the share of the rank in the mean. Unused room so goes
+ * to those who ask.
  *
  * A node sees a few clients of a few workspaces: what is much there can be
  * little over all nodes. So nodes tell each other each second what arrived at
  * them, as counts that add up and fade; nothing is kept by node. Uses are
- * shrunk towards the mean by as many requests as their noise is worth, the
- * more the fewer nodes are heard: alone among many, a node admits all alike.
+ * shrunk towards the usual one by as many requests as their noise is worth,
+ * the more the fewer nodes are heard, and count as usual within a factor:
+ * refused requests come again, so that a workspace refused for noise would ask
+ * for more.
  *
  * Harm: a use that was overestimated holds back a workspace that keeps to its
  * part. So none is admitted at less than SP_FAIR_MIN_OF_MEAN of its shares, or
@@ -31,9 +33,14 @@
 
 typedef struct SpFairShare SpFairShare;
 
+/* A quota in requests per second; 0: none. */
+typedef struct SpFairQuota {
+    const char *workspace;
+    double rate;
+} SpFairQuota;
+
 typedef struct SpFairRequest {
     const char *workspace; /* NULL or empty: none */
-    double rate;           /* its quota, requests per second; 0: none */
     int rank;
     int workspace_rank; /* SP_RANK_OF_ROUTE: none of its own */
 } SpFairRequest;
@@ -48,13 +55,11 @@
 
 SpFairShare *SpFairShare_New(void);
 void SpFairShare_Free(SpFairShare *fs);
-/* SpFairShare_Configure: the number of workspaces and the mean of those quotas
-   that there are (0: none), which stands in for the missing ones. */
-void SpFairShare_Configure(SpFairShare *fs, guint workspaces,
-                           double mean_rate);
-/* SpFairShare_Weight returns what a quota entitles to, relative to the mean.
- */
-double SpFairShare_Weight(const SpFairShare *fs, double rate);
+/* SpFairShare_Configure replaces the quotas by those of n workspaces; the mean
+   of those that there are stands in for the missing ones. */
+void SpFairShare_Configure(SpFairShare *fs, const SpFairQuota *list, guint n);
+/* SpFairShare_Part returns the part of all that a quota entitles to. */
+double SpFairShare_Part(const SpFairShare *fs, double rate);
 /* SpFairShare_Admit counts a request and returns the probability of its
    admission; shares are those of its path. */
 double SpFairShare_Admit(SpFairShare *fs, int64_t now, const SpFairRequest *r,
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -102,7 +102,7 @@
 typedef struct SpLimiterReq {
     SpFairItem item;       /* in its queue; user points to this struct */
     const char *workspace; /* of its caller, lives as long; NULL: none */
-    double weight;         /* of the workspace; 0: 1 */
+    double part;           /* of all that it is entitled to; 0: all */
     int rank;
     int nested; /* 1: made on behalf of a request that is already running */
     int repeatable; /* 1: it may run more than once */
--- a/flow/limiter.c
+++ b/flow/limiter.c
@@ -105,7 +105,7 @@
     if (l->running + l->queued < (int)l->limit) {
         return 0;
     }
-    ahead = SpFairQueue_Ahead(&l->queue[index], r->workspace, r->weight);
+    ahead = SpFairQueue_Ahead(&l->queue[index], r->workspace, r->part);
     for (i = 0; i < index; i++) {
         ahead += l->queue[i].items.length;
     }
@@ -140,7 +140,7 @@
     }
     r->item.user = r;
     SpFairQueue_Push(&l->queue[queue_index_of(r)], &r->item, r->workspace,
-                     r->weight);
+                     r->part);
     r->queued = 1;
     l->queued++;
     return SP_LIMITER_QUEUE;
--- a/relay/fair.c
+++ b/relay/fair.c
@@ -11,14 +11,14 @@
 #define MAX_RECEIVERS 32
 
 double
-workspace_weight(const Relay *n, const char *name)
+workspace_part(const Relay *n, const char *name)
 {
     const SpWorkspace *w = NULL;
 
     if (*name && n->routes && n->routes->workspaces) {
         w = SpWorkspaces_Find(n->routes->workspaces, name);
     }
-    return w ? SpFairShare_Weight(n->fair, w->rate) : 1;
+    return w ? SpFairShare_Part(n->fair, w->rate) : 1;
 }
 
 double
@@ -31,7 +31,6 @@
     }
     if (c->workspace) {
         r.workspace = c->workspace->name;
-        r.rate = c->workspace->rate;
         r.workspace_rank = c->workspace->rank;
     }
     return SpFairShare_Admit(c->n->fair, c->arrived, &r, path);
@@ -42,16 +41,16 @@
 configure(Relay *n)
 {
     const SpWorkspaces *ws = n->routes->workspaces;
-    guint i, rated = 0, count = ws ? SpWorkspaces_Count(ws) : 0;
-    double sum = 0;
+    guint i, count = ws ? SpWorkspaces_Count(ws) : 0;
+    SpFairQuota *list = g_new0(SpFairQuota, count + 1);
 
     n->fair_version = n->routes->version;
     for (i = 0; i < count; i++) {
         const SpWorkspace *w = SpWorkspaces_At(ws, i);
-        sum += w->rate;
-        rated += w->rate > 0;
+        list[i] = (SpFairQuota){w->name, w->rate};
     }
-    SpFairShare_Configure(n->fair, count, rated ? sum / rated : 0);
+    SpFairShare_Configure(n->fair, list, count);
+    g_free(list);
 }
 
 static guint
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -172,7 +172,7 @@
     j->seq = o->seq;
     j->req.user = j;
     j->req.workspace = j->workspace;
-    j->req.weight = workspace_weight(n, j->workspace);
+    j->req.part = workspace_part(n, j->workspace);
     j->req.rank = o->rank;
     j->req.nested = o->nested;
     j->req.repeatable = o->idempotent;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -304,8 +304,9 @@
 void update_self(Relay *n, int64_t now);
 
 /* fair.c */
-/* workspace_weight returns the weight of a workspace in a queue. */
-double workspace_weight(const Relay *n, const char *name);
+/* workspace_part returns the part of all that a workspace is entitled to; 1 if
+   it is not known. */
+double workspace_part(const Relay *n, const char *name);
 /* fair_share counts a new request and returns the probability of its admission
    at the shares of its path. */
 double fair_share(const Call *c, const SpShares *path);
