--- a/test/wire.c
+++ b/test/wire.c
@@ -146,7 +146,10 @@
     CU_ASSERT_STRING_EQUAL(w->name, "w1");
     CU_ASSERT(w->rank == 1 && w->rate == 73.5 && w->burst == 80);
     w = SpWorkspaces_Find(rs->workspaces, "w2");
-    CU_ASSERT_PTR_NOT_NULL_FATAL(w);
+    CU_ASSERT_PTR_NOT_NULL(w);
+    if (!w) {
+        return;
+    }
     CU_ASSERT(w->index == 1 && w->rank == SP_RANK_OF_ROUTE && w->rate == 0);
     CU_ASSERT_PTR_NULL(SpWorkspaces_FindKey(rs->workspaces, "k"));
     CU_ASSERT_PTR_NULL(SpWorkspaces_FindKey(rs->workspaces, ""));
@@ -169,7 +172,10 @@
 
     for (i = 0; i < G_N_ELEMENTS(texts); i++) {
         CU_ASSERT_PTR_NULL(parse_config(texts[i], &error));
-        CU_ASSERT_PTR_NOT_NULL_FATAL(error);
+        CU_ASSERT_PTR_NOT_NULL(error);
+        if (!error) {
+            continue;
+        }
         CU_ASSERT(g_str_has_prefix(error, "tenants: row "));
         CU_ASSERT_PTR_NULL(strstr(error, "k1"));
         g_free(error);
