--- a/flow/trial.c
+++ b/flow/trial.c
@@ -11,6 +11,8 @@
 #define MEMORY_RUNS 6.0
 /* Part of the limit in use that counts as load, and as full. */
 #define LOAD_SHARE 0.85
+/* Requests that fail below this part say nothing of the room. */
+#define BUSY_SHARE 0.5
 #define FULL_SHARE 0.9
 /* Reasons for a trial down: run time over the floor, for that time; share of
    failed runs. */
@@ -363,6 +365,7 @@
 {
     const SpTrialView *v = &t->seen;
     double mean = mean_running(v);
+    double busy = MAX(s->running, mean);
     int64_t now = s->now;
     int slow = has_seen_enough(v) && is_slow(t, now, s->running);
 
@@ -372,9 +375,9 @@
     if (!has_seen_enough(v)) {
         return;
     }
-    if (now >= t->down_at && is_failing(t)) {
+    if (now >= t->down_at && is_failing(t) && mean >= BUSY_SHARE * t->limit) {
         begin_trial(t, now, SP_TRIAL_FAILED,
-                    MIN(DOWN_FACTOR * t->limit, MAX(s->running, mean)));
+                    MIN(DOWN_FACTOR * t->limit, busy));
     }
     else if (now >= t->down_at && slow) {
         begin_trial(t, now, SP_TRIAL_SLOW, DOWN_FACTOR * MIN(t->limit, mean));
--- a/test/capacity.c
+++ b/test/capacity.c
@@ -224,6 +224,33 @@
     finish();
 }
 
+/* An instance that rejects for a while at low load keeps its limit, also if it
+   stops during a trial. */
+static void
+test_rejects_for_a_while(void)
+{
+    Model m = {.speed = 1, .knee = 100, .room = 1000};
+    double load = rate_of(&m, 40), least = 95;
+    uint64_t seed;
+
+    for (seed = 1; seed <= 4 * SEEDS; seed++) {
+        Node *n;
+        begin(LEARNED);
+        sim.rand = seed;
+        n = add_node(&m, 100);
+        run_for(3, load);
+        n->m.reject_share = 0.55;
+        run_for(0.5 + 0.1 * (double)seed, load);
+        n->m.reject_share = 0;
+        least = MIN(least, mean_limit(n, 5, load));
+        finish();
+    }
+    printf("\n    rejects 0.55 for 0.6 to 2.5 s at low load: limit at least "
+           "%.0f of 95",
+           least);
+    CU_ASSERT(least >= 0.9 * 95);
+}
+
 /* An instance whose nested calls are slow is not slow itself. */
 static void
 test_slow_calls(void)
@@ -362,6 +389,7 @@
     {"capacity", "hangs beyond", test_hangs_beyond},
     {"capacity", "rejects beyond", test_rejects_beyond},
     {"capacity", "rejects always", test_rejects_always},
+    {"capacity", "rejects for a while", test_rejects_for_a_while},
     {"capacity", "slow calls", test_slow_calls},
     {"capacity", "ablation", test_ablation},
     {"capacity", "firm limit", test_firm_limit},
