--- a/test/test.h
+++ b/test/test.h
@@ -21,6 +21,9 @@
 /* directory.c */
 extern const Unit directory_units[];
 
+/* chooser.c */
+extern const Unit chooser_units[];
+
 /* ranks.c */
 extern const Unit ranks_units[];
 
--- a/test/unit.c
+++ b/test/unit.c
@@ -453,6 +453,7 @@
     CU_initialize_registry();
     add_units(tests);
     add_units(flow_units);
+    add_units(chooser_units);
     add_units(wire_units);
     add_units(directory_units);
     add_units(ranks_units);
