--- a/flow/capacity.c
+++ b/flow/capacity.c
@@ -44,7 +44,10 @@
 void
 SpCapacity_Begin(SpCapacity *c, int slots)
 {
+    uint64_t lifetime = c->lifetime;
+
     memset(c, 0, sizeof *c);
+    c->lifetime = lifetime + 1;
     SpTrial_Begin(&c->trial, cap_of(slots));
     c->patience = FIRST_PATIENCE;
 }
@@ -84,6 +87,7 @@
 SpCapacity_Started(SpCapacity *c, const char *route, int ahead,
                    SpCapacityRun *r)
 {
+    r->lifetime = c->lifetime;
     r->route = route_index(c, route);
     r->ahead = ahead;
     r->answered = c->routes[r->route].answered;
@@ -162,8 +166,8 @@
 SpCapacity_Ended(SpCapacity *c, int64_t now, const SpCapacityRun *r,
                  SpRunEnd end, int64_t own_us)
 {
-    if (r->route >= c->nroutes) {
-        return; /* of an earlier lifetime */
+    if (r->lifetime != c->lifetime) {
+        return;
     }
     switch (end) {
     case SP_RUN_ANSWERED:
@@ -195,7 +199,7 @@
 {
     const SpCapacityRoute *route = &c->routes[r->route];
 
-    return r->route < c->nroutes && !r->overdue && own_us > OVERDUE_US &&
+    return r->lifetime == c->lifetime && !r->overdue && own_us > OVERDUE_US &&
            route->answered > r->answered + (uint64_t)r->ahead + OVERTAKEN &&
            (double)own_us > c->patience * route->mean_us;
 }
--- a/flow/capacity.h
+++ b/flow/capacity.h
@@ -8,7 +8,7 @@
  * queue. What an instance takes also changes: it starts cold, turns slow,
  * recovers, is replaced.
  *
- * The limit starts at the announced slots, which remain its upper bound, and
+ * The limit starts at 0.95 of the announced slots, its upper bound, and
  * follows trials (flow/trial.h). A run time counts without the time of the
  * calls that the request made meanwhile, and against that of its route at low
  * concurrency.
@@ -45,6 +45,7 @@
     uint64_t overdue;  /* number of overdue runs */
     double patience;   /* mean run times after which a run is overdue */
     int64_t lost_at;   /* time of the last request never answered; 0: none */
+    uint64_t lifetime; /* number of the instance's lifetime */
 } SpCapacity;
 
 /* A run as it was started. */
@@ -52,6 +53,7 @@
     int route;
     int ahead;         /* requests running at its start */
     uint64_t answered; /* of its route at its start */
+    uint64_t lifetime; /* of the instance that runs it */
     int overdue;
 } SpCapacityRun;
 
--- a/flow/fairshare.c
+++ b/flow/fairshare.c
@@ -133,7 +133,7 @@
             rated++;
             g_hash_table_insert(
                 fs->rates, GUINT_TO_POINTER(key_of(list[i].workspace)),
-                GUINT_TO_POINTER((guint)MIN(list[i].rate * 1000, 4e9)));
+                GUINT_TO_POINTER((guint)CLAMP(list[i].rate * 1000, 1, 4e9)));
         }
     }
     fs->mean_rate = rated ? sum / rated : 0;
--- a/flow/ledger.c
+++ b/flow/ledger.c
@@ -18,7 +18,8 @@
    at once when it has by that one. */
 #define NEWS_RATIO 0.95
 #define URGENT_RATIO 0.75
-/* Most words to a member at a time; further ones come with the next. */
+/* Most words of each kind to a member at a time; further ones come with the
+   next. */
 #define WORDS 256
 /* A part is held for zones that were not heard for this long after the start.
  */
@@ -32,6 +33,7 @@
     l->accounts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_account);
     l->limited = g_ptr_array_new();
+    l->left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     l->members =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_source);
     l->peers =
@@ -47,6 +49,7 @@
 {
     g_hash_table_destroy(l->members);
     g_hash_table_destroy(l->peers);
+    g_hash_table_destroy(l->left);
     g_ptr_array_unref(l->limited);
     g_hash_table_destroy(l->accounts);
     g_free(l);
@@ -142,7 +145,7 @@
 unheard_part(const SpLedger *l, int64_t now)
 {
     guint z, known = 0, unheard = 0;
-    guint members = g_hash_table_size(l->members) + l->left;
+    guint members = g_hash_table_size(l->members) + g_hash_table_size(l->left);
 
     for (z = 0; z < l->nzones; z++) {
         known += l->nodes[z];
@@ -174,6 +177,7 @@
     }
     s->silent = 0;
     s->heard_at = now;
+    g_hash_table_remove(l->left, node);
     for (i = 0; i < n; i++) {
         Part *p = find_part(l, s, usage[i].key, 1);
         if (!p) {
@@ -196,7 +200,7 @@
     if (s) {
         settle_member(s);
         g_hash_table_remove(l->members, node);
-        l->left++;
+        g_hash_table_add(l->left, g_strdup(node));
     }
 }
 
@@ -280,16 +284,18 @@
 }
 
 /* Adds the workspaces that are limited since the last words, now and then all
-   that are limited. */
+   that are limited. Where they are too many for one message, each member is
+   told of all in turn. */
 static void
-add_limited(SpLedger *l, Source *s, GArray *out)
+add_limited(const SpLedger *l, Source *s, GArray *out)
 {
-    int all = l->updated_at - s->all_told_at >= ALL_TOLD_US;
     guint i, n = MIN(l->limited->len, WORDS);
+    int all =
+        n < l->limited->len || l->updated_at - s->all_told_at >= ALL_TOLD_US;
 
     for (i = 0; i < n; i++) {
         const Account *a =
-            g_ptr_array_index(l->limited, (l->word_at + i) % l->limited->len);
+            g_ptr_array_index(l->limited, (s->word_at + i) % l->limited->len);
         const Part *p = g_hash_table_lookup(s->parts, &a->key);
         if (all || (!p && a->limited_since >= s->told_at)) {
             add_word(out, a, p ? share_of(a, p->demand) : 0);
@@ -297,7 +303,7 @@
     }
     s->told_at = l->updated_at;
     s->all_told_at = all ? s->told_at : s->all_told_at;
-    l->word_at += n == WORDS ? n : 0;
+    s->word_at += n;
 }
 
 void
--- a/flow/ledger_priv.h
+++ b/flow/ledger_priv.h
@@ -53,6 +53,7 @@
     uint64_t epoch;
     int64_t heard_at;
     int64_t told_at, all_told_at; /* of a member: last words */
+    guint word_at; /* of a member: where in limited its next words begin */
     int silent;
     GHashTable *parts; /* key to Part */
 } Source;
@@ -66,9 +67,8 @@
     guint nodes[SP_LEDGER_ZONES];
     int heard[SP_LEDGER_ZONES]; /* 1: another ledger there was heard */
     guint nzones;
-    guint left;     /* members that left */
+    GHashTable *left; /* names of members that left */
     double unheard; /* part of all nodes that was not heard since the start */
-    guint word_at;  /* where in limited the next words begin */
     int64_t created, updated_at;
     int is_urgent; /* 1: a fraction has changed much */
 };
--- a/flow/quota.c
+++ b/flow/quota.c
@@ -327,6 +327,7 @@
     if (e) {
         mark_active(q, e);
         e->admitted--;
+        e->total_admitted--;
         e->tokens++;
     }
 }
--- a/relay/capacity.c
+++ b/relay/capacity.c
@@ -10,7 +10,7 @@
 #define MIN_RUNS_LEFT 2
 
 static void
-apply_limits(Relay *n, int64_t now)
+apply_capacity(Relay *n, int64_t now)
 {
     const SpCapacity *c = &n->capacity;
 
@@ -37,7 +37,7 @@
         begin_capacity(n, slots);
     }
     SpCapacity_SetSlots(&n->capacity, slots);
-    apply_limits(n, SpHttp_Now());
+    apply_capacity(n, SpHttp_Now());
 }
 
 /* Run time without that of nested calls. */
@@ -165,7 +165,7 @@
     end_overdue_runs(n, now);
     if (SpCapacity_Step(&n->capacity, now, n->limiter.running,
                         n->limiter.queued)) {
-        apply_limits(n, now);
+        apply_capacity(n, now);
         log_change(n);
     }
 }
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -35,10 +35,10 @@
     FRAME_USAGE, /* number of the report, 1 if the sender leaves, list of: key
                     of a workspace, offered, admitted, demand */
     FRAME_WORDS, /* number of the report that it answers or 0, list of: key,
-                    fraction, share, wait in milliseconds */
+                    fraction and share in millionths, wait in milliseconds */
     FRAME_SUMS,  /* start of the sender, kind (relay/sums.c), list of: key,
-                    admitted,  demand, offered, part held, level; list of the
-                    keys of  its members */
+                    admitted, demand, offered, part held in millionths, level;
+                    list of the keys of its members */
     FRAME_NTYPES
 } FrameType;
 
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -241,7 +241,8 @@
     run_next(n);
 }
 
-void
+/* Ends a run that the instance has not answered. */
+static void
 abort_run(Job *j, int64_t now)
 {
     Relay *n = j->n;
--- a/relay/quota.c
+++ b/relay/quota.c
@@ -11,11 +11,6 @@
 #define KEEP_US (700 * SP_MS)
 /* A coordinator that does not answer is avoided for this long. */
 #define AVOID_US (3 * SP_SEC)
-/* Fields of a workspace in FRAME_USAGE and FRAME_WORDS. */
-#define USAGE_FIELDS 4
-#define WORD_FIELDS 4
-/* Shares are sent in millionths. */
-#define SHARE_SCALE 1e6
 /* Workspaces with metrics of their own. */
 #define METRIC_WORKSPACES 16
 
@@ -174,8 +169,8 @@
 choose_coordinator(Relay *n, int64_t now)
 {
     Quotas *q = n->quotas;
-    GPtrArray *list = list_zone(n, n->settings.zone);
     const char *name = "";
+    GPtrArray *list;
     guint i;
 
     check_answers(q, now);
@@ -183,6 +178,7 @@
         now - q->word_at < KEEP_US && !is_usable(n, q->coordinator, now)) {
         return;
     }
+    list = list_zone(n, n->settings.zone);
     for (i = 0; i < list->len && !name[0]; i++) {
         const SpNodeInfo *m = g_ptr_array_index(list, i);
         name = is_usable(n, m->name, now) ? m->name : "";
@@ -255,7 +251,7 @@
 
     for (i = 0; i < count / WORD_FIELDS; i++) {
         SpQuotaWord w = {.key = get_uint(&in)};
-        w.admit = get_real(&in);
+        w.admit = (double)get_uint(&in) / SHARE_SCALE;
         w.share = (double)get_uint(&in) / SHARE_SCALE;
         w.wait_us = (int64_t)get_uint(&in) * SP_MS;
         g_array_append_val(words, w);
--- a/relay/quotas.h
+++ b/relay/quotas.h
@@ -5,10 +5,16 @@
 #include "flow/ledger.h"
 #include "relay/link.h"
 
+/* Fields of a workspace in FRAME_USAGE and FRAME_WORDS. */
+#define USAGE_FIELDS 4
+#define WORD_FIELDS 4
+/* Fractions and shares are sent in millionths. */
+#define SHARE_SCALE 1e6
+
 struct Quotas {
     SpQuota *quota;
-    SpLedger *ledger;   /* NULL unless this node is a contact of its zone or
-                           others report to it */
+    SpLedger *ledger;   /* NULL until this node is first a contact of its zone
+                           or others report to it; kept from then on */
     int is_used;        /* 1: the ledger has members */
     GHashTable *limits; /* key to LoggedLimit */
     char coordinator[SP_FLOW_NAME]; /* empty: none */
@@ -26,7 +32,7 @@
 int is_own_coordinator(const Relay *n);
 
 /* sums.c */
-/* step_ledger keeps a ledger while it is needed, and exchanges sums. */
+/* step_ledger begins a ledger when it is needed, and exchanges sums. */
 void step_ledger(Relay *n, int64_t now);
 /* use_ledger returns the ledger, which is begun if there is none. */
 SpLedger *use_ledger(Relay *n, int64_t now);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -268,8 +268,6 @@
 /* drop_job cancels a job without calling done. A run in progress that is not
    idempotent continues to its end. */
 void drop_job(Job *j);
-/* abort_run ends a run that the instance has not answered. */
-void abort_run(Job *j, int64_t now);
 void tick_instance(Relay *n, int64_t now);
 /* lower_deadline lowers the deadline of a job that waits in the queue; a run
    in progress keeps its own. */
--- a/relay/state.c
+++ b/relay/state.c
@@ -201,12 +201,13 @@
 static void
 read_load(LinkConn *conn, FrameIn *f)
 {
+    uint64_t accepts = get_uint(f), version;
     Load l;
     int i;
-    uint64_t version;
     SpUpstream *u;
 
-    l.accepts = (SpAcceptState)get_uint(f);
+    f->bad |= accepts > SP_ACCEPT_ALL;
+    l.accepts = (SpAcceptState)accepts;
     l.busy = (int)get_uint(f);
     l.limit = get_real(f);
     l.run_us = (double)get_uint(f);
--- a/relay/sums.c
+++ b/relay/sums.c
@@ -11,11 +11,7 @@
 /* A ledger from which sums came this long ago is in use. */
 #define IN_USE_US (3 * SP_SEC)
 #define ZONES_US (1 * SP_SEC)
-/* Fields of a workspace in the frames. */
-#define USAGE_FIELDS 4
-#define WORD_FIELDS 4
 #define SUM_FIELDS 6
-#define SHARE_SCALE 1e6
 /* A fraction is logged again when it has changed by this factor, this long
    after the last time. */
 #define LOG_RATIO 2.0
@@ -66,7 +62,7 @@
     for (i = 0; i < words->len; i++) {
         const SpQuotaWord *w = &g_array_index(words, SpQuotaWord, i);
         put_uint(&f, w->key);
-        put_real(&f, w->admit);
+        put_uint(&f, (uint64_t)(w->admit * SHARE_SCALE));
         put_uint(&f, (uint64_t)(w->share * SHARE_SCALE));
         put_uint(&f, (uint64_t)(w->wait_us / SP_MS));
     }
--- a/relay/where.c
+++ b/relay/where.c
@@ -164,7 +164,8 @@
 
     if (!read_question(SpHttpReq_Msg(req)->target, &q)) {
         status = 400;
-        g_string_append(s, "host and path are needed, 1023 bytes at most\n");
+        g_string_append(s, "host and path are needed, 1023 bytes at most, "
+                           "a workspace has 63 at most\n");
     }
     else if (!find(n, &q, &r, &rank, s)) {
         status = 404;
