--- a/flow/capacity.c
+++ b/flow/capacity.c
@@ -146,7 +146,8 @@
     c->patience = CLAMP(factor * c->patience, MIN_PATIENCE, MAX_PATIENCE);
 }
 
-/* A run that began beyond the present limit says nothing of that. */
+/* A run that began beyond the present limit was part of a trial: its failure
+   says nothing of that limit. */
 static void
 count_failed(SpCapacity *c, const SpCapacityRun *r)
 {
--- a/flow/fairlift.c
+++ b/flow/fairlift.c
@@ -58,6 +58,7 @@
         l.mean[g] = least;
         lifted += l.added[g] * groups[g].total;
     }
+    /* both are 0 if nothing is admitted */
     l.scale = lifted < rest ? 1 - lifted / rest : 1;
     return l;
 }
--- a/flow/trial.c
+++ b/flow/trial.c
@@ -11,9 +11,9 @@
 #define MEMORY_RUNS 6.0
 /* Part of the limit in use that counts as load, and as full. */
 #define LOAD_SHARE 0.85
+#define FULL_SHARE 0.9
 /* Requests that fail below this part say nothing of the room. */
 #define BUSY_SHARE 0.5
-#define FULL_SHARE 0.9
 /* Reasons for a trial down: run time over the floor, for that time; share of
    failed runs. */
 #define SLOW_RATIO 1.4
@@ -21,13 +21,16 @@
 #define FAILED_SHARE 0.03
 /* Failures that a lower limit leaves, if they depend on it. */
 #define FEWER_FAILED 0.6
-/* What has to be seen before a trial: runs, time, run times; and in it. */
 /* Failures that end a trial up. */
 #define MORE_FAILED 0.1
+/* Least ratio of answers by which a trial down that avoids failures stays. */
+#define FAILED_LEAST_RATIO 0.9
+/* What has to be seen before a trial: runs, time, run times; and in it. */
 #define MIN_SEEN 60
 #define MIN_SEEN_US (400.0 * SP_MS)
 #define MIN_SEEN_RUNS 2.0
 #define MIN_TRIED 30
+/* Change of the limit by a trial. */
 #define DOWN_FACTOR 0.75
 #define UP_FACTOR 1.25
 /* Running requests over their mean of late, while the load is steady. */
@@ -180,7 +183,8 @@
         t->reason == SP_TRIAL_UP ? t->limit : mean_running(&t->seen);
     double least = sqrt(t->tried / before);
 
-    return t->reason == SP_TRIAL_FAILED ? MIN(least, FULL_SHARE) : least;
+    return t->reason == SP_TRIAL_FAILED ? MIN(least, FAILED_LEAST_RATIO)
+                                        : least;
 }
 
 /* 1 if the trial mended its reason too: it avoids failures, or run times fall
--- a/flow/trial.h
+++ b/flow/trial.h
@@ -20,10 +20,10 @@
 
 #include "base/base.h"
 
-/* What was seen of the instance over some time. */
+/* What was seen of the instance over some time, fading. */
 typedef struct SpTrialView {
-    double us;
-    double running_us; /* integral of the running requests */
+    double us;         /* the time, in microseconds */
+    double running_us; /* integral of the running requests over it */
     double answered, failed;
     double work;             /* answered requests, weighted */
     double own_us, floor_us; /* sums of run times and of their floors */
--- a/http/clients.c
+++ b/http/clients.c
@@ -276,7 +276,7 @@
 }
 
 int
-make_descriptor(SpHttpServer *s)
+SpHttpServer_FreeDescriptor(SpHttpServer *s)
 {
     return close_one(s, SP_NEED_DESCRIPTOR, SP_HELD_NKINDS);
 }
--- a/http/conn.h
+++ b/http/conn.h
@@ -76,8 +76,8 @@
 void drop_out(SpHttpReq *r);
 
 /* clients.c */
-/* make_descriptor closes a connection so that another may be opened; returns 0
-   if none may be closed. */
-int make_descriptor(SpHttpServer *s);
+/* SpHttpServer_FreeDescriptor closes a connection so that another may be
+   opened; returns 0 if none may be closed. */
+int SpHttpServer_FreeDescriptor(SpHttpServer *s);
 
 #endif
--- a/http/server.c
+++ b/http/server.c
@@ -405,7 +405,7 @@
         return;
     }
     if (s->o.connections && s->conns->len >= (guint)s->o.connections &&
-        !make_descriptor(s)) {
+        !SpHttpServer_FreeDescriptor(s)) {
         turn_away(s, st);
         return;
     }
--- a/relay/linkmem.c
+++ b/relay/linkmem.c
@@ -57,6 +57,8 @@
     if (conn->reserved == n || n <= SP_LINK_KEPT_BYTES) {
         return 1;
     }
+    /* one beyond its part is received alone, and one that could never be taken
+       under the whole bound is added unasked */
     if (!SpBodyMemory_Take(m, n)) {
         if (m->used ||
             (n <= m->all->limit / 2 && !SpHeld_Take(m->all, m->kind, n))) {
--- a/web/clients.c
+++ b/web/clients.c
@@ -157,7 +157,7 @@
 }
 
 int
-make_descriptor(SpWeb *w)
+SpWeb_FreeDescriptor(SpWeb *w)
 {
     Client *c;
 
--- a/web/priv.h
+++ b/web/priv.h
@@ -56,8 +56,8 @@
 void forget_client(Client *c);
 /* watch_clients starts to look at the clients. */
 void watch_clients(SpWeb *w);
-/* make_descriptor closes a client if there are too many; returns 0 if there
-   are and none may be closed. */
-int make_descriptor(SpWeb *w);
+/* SpWeb_FreeDescriptor closes a client if there are too many; returns 0 if
+   there are and none may be closed. */
+int SpWeb_FreeDescriptor(SpWeb *w);
 
 #endif
--- a/web/server.c
+++ b/web/server.c
@@ -257,7 +257,8 @@
         return;
     }
     uv_tcp_nodelay(&c->tcp, 1);
-    if (l->nconns > l->web->o.max_connections || !make_descriptor(l->web)) {
+    if (l->nconns > l->web->o.max_connections ||
+        !SpWeb_FreeDescriptor(l->web)) {
         reject_client(c);
         return;
     }
