--- a/http/pool.c
+++ b/http/pool.c
@@ -15,16 +15,6 @@
    that the peer does not close one just as a request is sent on it. */
 #define IDLE_MARGIN_US (1 * SP_SEC)
 
-/* A connection with more rejected requests in memory than this is not reused.
- */
-#define MAX_REJECTED 256
-
-/* A request that was rejected on a connection and may be sent again. */
-typedef struct Rejected {
-    guint key;
-    int64_t until;
-} Rejected;
-
 typedef struct PoolConn {
     uv_tcp_t tcp;
     uv_connect_t connect_req;
@@ -38,8 +28,8 @@
     int idle; /* in the pool's idle_conns */
     int no_reuse;
     int closing;
-    int used;         /* a request before the present one was sent on it */
-    GArray *rejected; /* of Rejected */
+    int used; /* a request before the present one was sent on it */
+    SpRejected rejected;
 } PoolConn;
 
 struct SpExchange {
@@ -72,7 +62,7 @@
     PoolConn *c = h->data;
 
     SpMsgReader_Clear(&c->r);
-    g_array_free(c->rejected, TRUE);
+    SpRejected_Clear(&c->rejected);
     g_free(c);
 }
 
@@ -122,46 +112,6 @@
     }
 }
 
-static void
-forget_expired(PoolConn *c, int64_t now)
-{
-    guint i;
-
-    for (i = c->rejected->len; i > 0; i--) {
-        if (g_array_index(c->rejected, Rejected, i - 1).until < now) {
-            g_array_remove_index_fast(c->rejected, i - 1);
-        }
-    }
-}
-
-static void
-remember_rejection(PoolConn *c)
-{
-    Rejected r = {c->x->key, c->x->key_until};
-
-    forget_expired(c, SpHttp_Now());
-    if (c->rejected->len == MAX_REJECTED) {
-        c->no_reuse = 1;
-        return;
-    }
-    g_array_append_val(c->rejected, r);
-}
-
-/* Returns 1 if a request with this key was rejected on the connection. */
-static int
-has_rejected(const PoolConn *c, guint key, int64_t now)
-{
-    guint i;
-
-    for (i = 0; i < c->rejected->len; i++) {
-        const Rejected *r = &g_array_index(c->rejected, Rejected, i);
-        if (r->key == key && r->until >= now) {
-            return 1;
-        }
-    }
-    return 0;
-}
-
 static SpReplyMatch
 match_response(const PoolConn *c, const SpMsg *m)
 {
@@ -190,7 +140,8 @@
         return 0;
     }
     if (match == SP_REPLY_REJECTION) {
-        remember_rejection(c);
+        c->no_reuse |=
+            !SpRejected_Add(&c->rejected, x->key, x->key_until, SpHttp_Now());
     }
     x->response = m;
     return 1;
@@ -205,7 +156,8 @@
     SpLog(SP_LOG_INFO, "reply-unsolicited",
           "addr=%s conn=%" PRIu64 " idle_ms=%" PRId64 " rejections=%u",
           c->p->o.addr, c->number,
-          c->idle ? (SpHttp_Now() - c->since) / SP_MS : 0, c->rejected->len);
+          c->idle ? (SpHttp_Now() - c->since) / SP_MS : 0,
+          SpRejected_Count(&c->rejected));
 }
 
 static void
@@ -374,7 +326,6 @@
     c->r.max_body = p->o.body_bytes;
     c->r.memory = p->o.memory;
     c->since = SpHttp_Now();
-    c->rejected = g_array_new(FALSE, FALSE, sizeof(Rejected));
     g_ptr_array_add(p->conns, c);
     c->number = ++p->counts.opened;
     return c;
@@ -402,7 +353,7 @@
             close_conn(c);
             continue;
         }
-        if (key && has_rejected(c, key, now)) {
+        if (key && SpRejected_Has(&c->rejected, key, now)) {
             continue;
         }
         g_queue_delete_link(&p->idle_conns, k);
--- a/http/priv.h
+++ b/http/priv.h
@@ -38,6 +38,9 @@
     void *ctx;
 } SpMsgReader;
 
+/* What builds the message that a reader is in (message.c). */
+extern const http_parser_settings SpMsgReader_Callbacks;
+
 void SpMsgReader_Init(SpMsgReader *r, enum http_parser_type type);
 void SpMsgReader_Clear(SpMsgReader *r);
 /* SpMsgReader_Feed returns the number of bytes parsed; less than n if it
@@ -56,6 +59,22 @@
 int SpBodyMemory_Grow(SpBodyMemory *b, size_t more, size_t needed,
                       int may_fill);
 
+/*
+ * Requests that were rejected on a connection and may be sent again
+ * (rejected.c). It begins as zeros.
+ */
+typedef struct SpRejected {
+    GArray *list; /* NULL: none */
+} SpRejected;
+
+/* SpRejected_Add returns 0 if there are too many. until is the time up to
+   which the key is kept. */
+int SpRejected_Add(SpRejected *s, guint key, int64_t until, int64_t now);
+/* SpRejected_Has returns 1 if a request with this key was rejected. */
+int SpRejected_Has(const SpRejected *s, guint key, int64_t now);
+guint SpRejected_Count(const SpRejected *s);
+void SpRejected_Clear(SpRejected *s);
+
 /*
  * Bytes that a client has yet to take (out.c).
  */
