--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
 
-$(OUT)/spinst: $(OUT)/standin/answers.o $(OUT)/standin/instnet.o
+$(OUT)/spinst: $(patsubst %,$(OUT)/standin/%.o,answers rawanswers rawtext instnet)
 $(OUT)/spmesh: $(patsubst %.c,$(OUT)/%.o,$(wildcard standin/mesh*.c))
 $(OUT)/spstore $(OUT)/spinst $(OUT)/spmesh: $(OUT)/%: $(OUT)/standin/%.o \
 		$(patsubst %.c,$(OUT)/%.o,$(wildcard http/*.c)) $(OUT)/libsp.a
@@ -82,6 +82,7 @@
 
 $(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(filter-out test/fuzz% \
 		test/redirect.c,$(wildcard test/*.c))) $(PLATOBJ) $(OUT)/relay/frame.o \
+		$(OUT)/standin/rawtext.o \
 		$(OUT)/libsp.a
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ -lcunit -lhttp_parser $(LIBS)
--- a/standin/answers.c
+++ b/standin/answers.c
@@ -20,6 +20,8 @@
  *   /unstated-N  status N, executed, without a statement
  *   /other     421
  *   /early     sent before the request body is read
+ *   /raw-NAME  the answer of this name in the file of -a (rawtext.h);
+ *              /early/raw-NAME: sent before the request body is read
  *   /endless-KIND  bytes without end, see endless_answers; /endless-KIND-slow:
  *              one byte at a time
  *
@@ -303,6 +305,9 @@
         send_endless(fd, r, endless);
         return 0;
     }
+    if (inst.raw && strstr(r->path, RAW_PATH)) {
+        return send_raw_answer(fd, r);
+    }
     if (ends_with(r->path, "/hang")) {
         sleep_ms(5000);
         return 0;
--- a/standin/inst.h
+++ b/standin/inst.h
@@ -20,6 +20,7 @@
     int seq;
     int refuse_checks; /* 1: status checks are refused */
     int names_runs;    /* 1: answers repeat the sp-run of their request */
+    const char *raw;   /* file of raw answers (rawtext.h); NULL: none */
 } Inst;
 
 extern Inst inst;
@@ -51,6 +52,14 @@
 /* skip_body returns 0 if the connection ended. */
 int skip_body(int fd, char *buf, size_t *len, size_t body);
 
+/* rawanswers.c */
+/* The path of a request for a raw answer ends with this and its name. */
+#define RAW_PATH "/raw-"
+/* load_raw_answers returns 0 if the file cannot be read. */
+int load_raw_answers(const char *file);
+/* send_raw_answer returns 0 to close the connection. */
+int send_raw_answer(int fd, const Request *r);
+
 /* answers.c */
 /* init_answers is called once the options have been read. */
 void init_answers(void);
--- a/standin/spinst.c
+++ b/standin/spinst.c
@@ -8,7 +8,7 @@
  * deregisters and exits. With -H status checks are refused, with
  * -N answers repeat the sp-run of their request (spnode). With -k S it
  * closes connections that are idle for S seconds, as its Keep-Alive header
- * says.
+ * says. With -a FILE it sends the raw answers of a file (rawtext.h).
  */
 #include <arpa/inet.h>
 #include <getopt.h>
@@ -49,7 +49,7 @@
             g_free(c.late);
             c.late = NULL;
         }
-        if (ends_with(r.path, "/early")) {
+        if (ends_with(r.path, "/early") || strstr(r.path, "/early/")) {
             keep_open = respond(&c, &r) && skip_body(fd, buf, &len, r.body);
             continue;
         }
@@ -163,7 +163,7 @@
 
     inst.slots = 8;
     inst.report_ms = REPORT_MS;
-    while ((c = getopt(argc, argv, "l:i:s:z:c:n:b:r:k:HN")) != -1) {
+    while ((c = getopt(argc, argv, "l:i:s:z:c:n:b:r:k:a:HN")) != -1) {
         switch (c) {
         case 'l':
             inst.addr = optarg;
@@ -189,6 +189,9 @@
         case 'k':
             inst.idle_s = (int)strtol(optarg, NULL, 10);
             break;
+        case 'a':
+            inst.raw = optarg;
+            break;
         case 'N':
             inst.names_runs = 1;
             break;
@@ -206,7 +209,11 @@
         !inst.control) {
         fprintf(stderr, "usage: spinst -l ADDR -i ID -s SERVICE -z ZONE"
                         " -c CONTROL [-n SLOTS] [-b START_MS] [-r REPORT_MS]"
-                        " [-k IDLE_S] [-H] [-N]\n");
+                        " [-k IDLE_S] [-a FILE] [-H] [-N]\n");
+        return 2;
+    }
+    if (inst.raw && !load_raw_answers(inst.raw)) {
+        fprintf(stderr, "spinst: cannot read %s\n", inst.raw);
         return 2;
     }
     init_answers();
--- /dev/null
+++ b/test/answers.c
@@ -0,0 +1,103 @@
+/* Unit tests of the reader of messages: what is an answer, and when it is
+   whole. The cases of test/answers.txt are read in pieces of any size. */
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "http/priv.h"
+#include "standin/rawtext.h"
+#include "test/test.h"
+
+#define FILE_NAME "test/answers.txt"
+#define LIMIT_BYTES 65536
+
+/* What has been read of a connection. */
+typedef struct Seen {
+    int messages;
+    int status;
+    char body[64];
+} Seen;
+
+static int
+take(void *ctx, SpMsg *m)
+{
+    Seen *seen = ctx;
+
+    seen->messages++;
+    seen->status = m->status;
+    g_strlcpy(seen->body, m->body ? m->body : "",
+              MIN(m->body_len + 1, sizeof seen->body));
+    SpMsg_Free(m);
+    return 1;
+}
+
+/* Reads the bytes in pieces up to the first message, and the end of the
+   connection if it is closed in order; returns the state of the reader. */
+static SpReadState
+read_pieces(Seen *seen, enum http_parser_type type, const GString *s,
+            size_t piece, int closed, int is_head)
+{
+    SpMsgReader r;
+    SpReadState state;
+    size_t i, n;
+
+    memset(seen, 0, sizeof *seen);
+    SpMsgReader_Init(&r, type);
+    r.done = take;
+    r.ctx = seen;
+    r.max_head = r.max_body = LIMIT_BYTES;
+    r.skip_body = is_head;
+    for (i = 0; i < s->len && !seen->messages && r.state == SP_READ_OK;
+         i += n) {
+        n = MIN(piece, s->len - i);
+        if (SpMsgReader_Feed(&r, s->str + i, n) < n) {
+            break;
+        }
+    }
+    if (!seen->messages && closed) {
+        SpMsgReader_End(&r);
+    }
+    state = r.state;
+    SpMsgReader_Clear(&r);
+    return state;
+}
+
+static void
+check_line(const RawLine *l, size_t piece)
+{
+    GString *s = expand_raw(l->bytes, "X-Id: 1\r\n");
+    int closed = strcmp(l->end, "close") == 0 || strcmp(l->end, "leave") == 0;
+    char got[96] = "broken";
+    Seen seen;
+
+    read_pieces(&seen, HTTP_RESPONSE, s, piece, closed,
+                g_str_has_prefix(l->name, "head-"));
+    if (seen.messages) {
+        g_snprintf(got, sizeof got, "%d=%s", seen.status, seen.body);
+    }
+    if (strcmp(got, l->result) != 0) {
+        printf("%s in pieces of %zu: %s instead of %s\n", l->name, piece, got,
+               l->result);
+    }
+    CU_ASSERT_STRING_EQUAL(got, l->result);
+    g_string_free(s, TRUE);
+}
+
+static void
+test_pieces(void)
+{
+    static const size_t pieces[] = {1, 2, 3, 5, 7, LIMIT_BYTES};
+    GArray *lines = read_raw_lines(FILE_NAME);
+    guint i, k;
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(lines);
+    CU_ASSERT(lines->len > 100);
+    for (i = 0; i < lines->len; i++) {
+        for (k = 0; k < G_N_ELEMENTS(pieces); k++) {
+            check_line(&g_array_index(lines, RawLine, i), pieces[k]);
+        }
+    }
+    free_raw_lines(lines);
+}
+
+const Unit answer_units[] = {{"answers", "pieces", test_pieces},
+                             {NULL, NULL, NULL}};
