A body that a reset cuts during an upload is not whole

Callers saw the first part of a body as a complete 200, when the instance answered a long upload at once, without a length, and reset the connection.

Cause: a socket tells of a reset once. While the request is still being written, the write gets the error, and nobody looked at it; the read after it returns 0 bytes, which the pool took for a close in order.

A trace of the system calls shows write: ECONNRESET, then an end of the file.

Change: the pool keeps the error of a write. Linux gives EPIPE if a FIN came before the reset: then the answer was closed in order, and passes (end-leave, which passed before by the fault). A read that gets EPIPE is such an end too. A connection on which a write failed is not used again.

--- a/http/http.h
+++ b/http/http.h
@@ -276,9 +276,11 @@
 /*
  * SpHttp_Write sends p, allocated by g_malloc, and frees it. What the socket
  * does not accept at once is queued. Returns the number of bytes sent at once,
- * or a negative libuv error if nothing was sent or queued.
+ * or a negative libuv error if nothing was sent or queued. error, which may be
+ * NULL, is set to the libuv error if queued bytes cannot be sent; it must last
+ * until the stream is closed.
  */
-ssize_t SpHttp_Write(uv_stream_t *s, char *p, size_t n);
+ssize_t SpHttp_Write(uv_stream_t *s, char *p, size_t n, int *error);
 
 /* SpHttp_ListenTcp initializes tcp, whose data must be set after it, and
    listens on "IP:port"; returns 0 and sets err on failure. */
--- a/http/pool.c
+++ b/http/pool.c
@@ -28,7 +28,8 @@
     int idle; /* in the pool's idle_conns */
     int no_reuse;
     int closing;
-    int used; /* a request before the present one was sent on it */
+    int write_error; /* of queued bytes of the request; 0: none */
+    int used;        /* a request before the present one was sent on it */
     SpRejected rejected;
 } PoolConn;
 
@@ -196,7 +197,7 @@
        peer still expects the rest of the request, so the connection cannot
        carry another one. */
     if (!x->response->keep_alive || c->no_reuse || trailing || unsent ||
-        c->idle_limit_us <= 0) {
+        c->write_error || c->idle_limit_us <= 0) {
         x->c = NULL;
         c->x = NULL;
         close_conn(c);
@@ -210,19 +211,27 @@
 }
 
 /*
- * Returns 1 if the peer closed the connection by a FIN, 0 after a reset.
- * UV_EOF does not tell them apart: on a hang-up after the last bytes, libuv
- * reports it without reading the socket. After a reset, recv fails with an
- * error.
+ * Returns 1 if the peer closed the connection by a FIN, 0 after a reset alone;
+ * n is what the read callback got. UV_EOF does not tell: on a hang-up after
+ * the last bytes, libuv reports it without reading the socket. The socket
+ * tells of a reset once, to the read or the write that comes first, and as
+ * EPIPE if a FIN came before it; from then on it reads as closed by a FIN.
  */
 static int
-is_closed_by_fin(const PoolConn *c)
+is_closed_by_fin(const PoolConn *c, ssize_t n)
 {
     uv_os_fd_t fd;
     char b;
+    ssize_t got;
 
-    return uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0 &&
-           recv(fd, &b, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    if (c->write_error) {
+        return c->write_error == UV_EPIPE;
+    }
+    if (n != UV_EOF || uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0) {
+        return n == UV_EPIPE;
+    }
+    got = recv(fd, &b, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno == EPIPE);
 }
 
 static const char *const read_errors[] = {
@@ -242,8 +251,8 @@
         return;
     }
     if (n < 0) {
-        if (n == UV_EOF && c->x && is_closed_by_fin(c) &&
-            SpMsgReader_End(&c->r) && c->x->response) {
+        if (c->x && is_closed_by_fin(c, n) && SpMsgReader_End(&c->r) &&
+            c->x->response) {
             c->no_reuse = 1;
             finish_response(c, 0);
             return;
@@ -275,7 +284,7 @@
     char *p = x->out;
 
     x->out = NULL;
-    n = SpHttp_Write((uv_stream_t *)&c->tcp, p, x->out_len);
+    n = SpHttp_Write((uv_stream_t *)&c->tcp, p, x->out_len, &c->write_error);
     x->sent = n >= 0;
     if (n < 0) {
         x->error = "write";
--- a/http/stream.c
+++ b/http/stream.c
@@ -19,6 +19,7 @@
 typedef struct PendingWrite {
     uv_write_t req;
     char *p;
+    int *error; /* NULL: nobody asks */
 } PendingWrite;
 
 static void
@@ -26,13 +27,15 @@
 {
     PendingWrite *w = (PendingWrite *)req;
 
-    (void)status; /* the read callback reports a broken connection */
+    if (status < 0 && status != UV_ECANCELED && w->error) {
+        *w->error = status;
+    }
     g_free(w->p);
     g_free(w);
 }
 
 ssize_t
-SpHttp_Write(uv_stream_t *s, char *p, size_t n)
+SpHttp_Write(uv_stream_t *s, char *p, size_t n, int *error)
 {
     uv_buf_t buf = uv_buf_init(p, (unsigned)n);
     ssize_t sent = 0;
@@ -53,6 +56,7 @@
     }
     w = g_new(PendingWrite, 1);
     w->p = p;
+    w->error = error;
     buf = uv_buf_init(p + sent, (unsigned)(n - (size_t)sent));
     e = uv_write(&w->req, s, &buf, 1, on_written);
     if (e < 0) {
--- a/relay/link.c
+++ b/relay/link.c
@@ -253,7 +253,8 @@
     if (conn->connected && !conn->closing && n) {
         /* an error is also reported to the reader, which closes the link */
         (void)SpHttp_Write((uv_stream_t *)&conn->tcp,
-                           (char *)g_byte_array_steal(conn->out, NULL), n);
+                           (char *)g_byte_array_steal(conn->out, NULL), n,
+                           NULL);
     }
     if (n || conn->counted) {
         count_unsent(conn);
--- a/standin/meshinst.c
+++ b/standin/meshinst.c
@@ -71,7 +71,8 @@
 send_text(IConn *c, const char *s)
 {
     if (!c->closed) {
-        (void)SpHttp_Write((uv_stream_t *)&c->tcp, g_strdup(s), strlen(s));
+        (void)SpHttp_Write((uv_stream_t *)&c->tcp, g_strdup(s), strlen(s),
+                           NULL);
     }
 }
 
--- a/standin/meshlink.c
+++ b/standin/meshlink.c
@@ -101,7 +101,8 @@
         int at_end = c->len == 0;
         w->held -= c->len;
         if (!at_end && !w->link->silent) {
-            SpHttp_Write(output_of(w), g_memdup2(c->bytes, c->len), c->len);
+            SpHttp_Write(output_of(w), g_memdup2(c->bytes, c->len), c->len,
+                         NULL);
         }
         g_free(g_queue_pop_head(&w->chunks));
         if (at_end) {
--- a/test/answers.t
+++ b/test/answers.t
@@ -42,6 +42,9 @@
 early interim-100 200=hello
 early end-close 200=hello
 early end-leave 200=hello
+early end-reset broken
+early end-reset-empty broken
+early end-reset-stated broken
 echo "run once: $(for n in $(grep -o 'id=early-[^ ]*' "$DIR/inst-back-1.out" | sort -u); do
     runs "${n#id=}"; done | sort | uniq -c | tr -s ' ')"
 echo "an ordinary request: $(code front-1 last GET /once/x)"
