What comes after a failed write is not the answer to its request

A request that cannot be written, since the instance or the store has reset the idle connection, was reported at the next tick. Until then the pool read on: an answer that lay in the socket, to no request or to another one, was taken for the answer to the request that was never sent. Relays name their requests to instances and were spared; the store's calls and status checks have no name.

The test (pool.c: one more answer and a reset on an idle connection) got SP_POOL_OK before; it gets SP_POOL_NOT_SENT, which is true.

--- a/http/pool.c
+++ b/http/pool.c
@@ -265,6 +265,10 @@
         close_conn(c);
         return;
     }
+    if (c->x->error) {
+        fail(c, c->x->error); /* the request was not sent: not its response */
+        return;
+    }
     c->r.skip_body = c->x->is_head;
     consumed = SpMsgReader_Feed(&c->r, buf->base, (size_t)n);
     if (c->x->response) {
--- a/test/unit.c
+++ b/test/unit.c
@@ -456,6 +456,7 @@
     add_units(chooser_units);
     add_units(wire_units);
     add_units(answer_units);
+    add_units(pool_units);
     add_units(directory_units);
     add_units(ranks_units);
     add_units(fairqueue_units);
