The status line of an answer is checked

Callers got answers of status 000, 099, 600, 999 and 20, passed on as `HTTP/1.1 0`.

Cause: http_parser leaves the version and the range of the status to its user, counts the digits of neither, and does not look at the reason phrase. The reader took what it got.

Change: the reader checks the bytes of the line before they are parsed (RFC 9112 4, RFC 9110 15), in a file of its own, http/syntax.c. Messages end one turn of the parser now, so that the reader knows where the next line begins. The caller gets 502: the request may have run.

--- a/http/message.c
+++ b/http/message.c
@@ -270,15 +270,15 @@
 
     r->msg = NULL;
     r->head_done = 0;
+    r->message_ended = 1;
+    http_parser_pause(p, 1);
     shrink_buffers(r);
     if (p->type == HTTP_RESPONSE && m->status / 100 == 1) {
         SpMsg_Free(m); /* interim response; the final one follows */
         return 0;
     }
     m->keep_alive = http_should_keep_alive(p);
-    if (r->done(r->ctx, m)) {
-        http_parser_pause(p, 1);
-    }
+    r->stopped = r->done(r->ctx, m);
     return 0;
 }
 
--- a/http/priv.h
+++ b/http/priv.h
@@ -16,10 +16,36 @@
     SP_READ_NO_MEMORY /* for the body */
 } SpReadState;
 
+/*
+ * Syntax that http_parser does not check (syntax.c).
+ */
+
+/* A line that is being checked. It begins as zeros. */
+typedef struct SpLine {
+    size_t len; /* bytes seen */
+    char last;  /* of them */
+    int ended;
+    int invalid;
+} SpLine;
+
+/* SpLine_Check checks the bytes up to the end of the line; returns their
+   number, which is less than n if the line has ended or is invalid. */
+size_t SpLine_Check(SpLine *l, const char *p, size_t n);
+
+/* What the next bytes of a connection belong to. */
+typedef enum {
+    SP_PART_STATUS, /* empty lines, and the status line */
+    SP_PART_REST    /* of a response; the whole of a request */
+} SpPart;
+
 /* Incremental parser of the messages of one connection. */
 typedef struct SpMsgReader {
     http_parser p;
-    SpMsg *msg; /* being parsed; NULL between messages */
+    SpPart part;
+    SpLine line;       /* the status line being read */
+    int message_ended; /* by the bytes just parsed */
+    int stopped;       /* 1: done asked to stop after the message */
+    SpMsg *msg;        /* being parsed; NULL between messages */
     GString *field, *value, *target;
     GArray *headers; /* of SpHeader */
     int has_value;
--- a/http/reader.c
+++ b/http/reader.c
@@ -7,11 +7,25 @@
 /* Empty lines that may follow a message without being the start of another. */
 #define TRAILING_BYTES 4
 
+static void
+begin_part(SpMsgReader *r, SpPart part)
+{
+    r->part = part;
+    memset(&r->line, 0, sizeof r->line);
+}
+
+static void
+begin_message(SpMsgReader *r)
+{
+    begin_part(r, r->p.type == HTTP_RESPONSE ? SP_PART_STATUS : SP_PART_REST);
+}
+
 void
 SpMsgReader_Init(SpMsgReader *r, enum http_parser_type type)
 {
     memset(r, 0, sizeof *r);
     http_parser_init(&r->p, type);
+    begin_message(r);
     r->p.data = r;
     r->field = g_string_new(NULL);
     r->value = g_string_new(NULL);
@@ -41,17 +55,13 @@
     return i;
 }
 
-size_t
-SpMsgReader_Feed(SpMsgReader *r, const char *p, size_t n)
+/* Passes n bytes to the parser; returns the number parsed, up to the next
+   pause. */
+static size_t
+execute(SpMsgReader *r, const char *p, size_t n)
 {
-    size_t consumed;
-    enum http_errno e;
-
-    if (!r->msg) {
-        r->blank_bytes += count_blank(p, n);
-    }
-    consumed = http_parser_execute(&r->p, &SpMsgReader_Callbacks, p, n);
-    e = HTTP_PARSER_ERRNO(&r->p);
+    size_t parsed = http_parser_execute(&r->p, &SpMsgReader_Callbacks, p, n);
+    enum http_errno e = HTTP_PARSER_ERRNO(&r->p);
 
     if (e == HPE_PAUSED) {
         http_parser_pause(&r->p, 0);
@@ -60,11 +70,70 @@
         r->state = e == HPE_HEADER_OVERFLOW ? SP_READ_HEAD_TOO_LARGE
                                             : SP_READ_INVALID;
     }
-    else if (e == HPE_OK && r->p.type == HTTP_REQUEST &&
-             r->blank_bytes > r->max_head) {
+    return parsed;
+}
+
+/* Bytes of a status line, checked before they are parsed. */
+static size_t
+parse_line(SpMsgReader *r, const char *p, size_t n)
+{
+    n = SpLine_Check(&r->line, p, n);
+    if (r->line.invalid) {
+        r->state = SP_READ_INVALID;
+        return n;
+    }
+    return execute(r, p, n);
+}
+
+/* Empty lines, and the status line. */
+static size_t
+parse_status(SpMsgReader *r, const char *p, size_t n)
+{
+    size_t blank = r->line.len ? 0 : count_blank(p, n);
+
+    if (blank) {
+        return execute(r, p, blank);
+    }
+    n = parse_line(r, p, n);
+    if (r->line.ended) {
+        begin_part(r, SP_PART_REST);
+    }
+    return n;
+}
+
+/* Parses at least one byte, unless it is invalid, and at most up to the end of
+   the part of the message; returns the number of bytes. */
+static size_t
+parse_part(SpMsgReader *r, const char *p, size_t n)
+{
+    static size_t (*const parse[])(SpMsgReader *, const char *, size_t) = {
+        [SP_PART_STATUS] = parse_status, [SP_PART_REST] = execute};
+
+    n = parse[r->part](r, p, n);
+    if (r->message_ended) {
+        r->message_ended = 0;
+        begin_message(r);
+    }
+    return n;
+}
+
+size_t
+SpMsgReader_Feed(SpMsgReader *r, const char *p, size_t n)
+{
+    size_t i = 0;
+
+    if (!r->msg) {
+        r->blank_bytes += count_blank(p, n);
+    }
+    r->stopped = 0;
+    while (i < n && r->state == SP_READ_OK && !r->stopped) {
+        i += parse_part(r, p + i, n - i);
+    }
+    if (r->state == SP_READ_OK && r->p.type == HTTP_REQUEST &&
+        r->blank_bytes > r->max_head) {
         r->state = SP_READ_HEAD_TOO_LARGE;
     }
-    return consumed;
+    return i;
 }
 
 int
@@ -78,6 +147,9 @@
 {
     enum http_errno e;
 
+    if (r->state != SP_READ_OK) {
+        return 0;
+    }
     http_parser_execute(&r->p, &SpMsgReader_Callbacks, NULL, 0);
     e = HTTP_PARSER_ERRNO(&r->p);
     /* the end of the connection may complete a message, which pauses */
--- /dev/null
+++ b/http/syntax.c
@@ -0,0 +1,48 @@
+/*
+ * Syntax of HTTP/1.1 that http_parser leaves out as Debian builds it: it does
+ * not look at the reason phrase or at the number of digits of a status. Rules
+ * are those of RFC 9112 and RFC 9110.
+ */
+#include "http/priv.h"
+
+/* Status line up to the reason phrase; # is a digit. */
+static const char status_form[] = "HTTP/1.# ###";
+#define STATUS_FORM_LEN (sizeof status_form - 1)
+#define STATUS_AT (STATUS_FORM_LEN - 3)
+
+static int
+is_text_byte(char c)
+{
+    return c == '\t' || !g_ascii_iscntrl(c);
+}
+
+static int
+is_status_byte(const SpLine *l, char c)
+{
+    if (l->len == STATUS_AT) {
+        return c >= '1' && c <= '5';
+    }
+    if (l->len < STATUS_FORM_LEN) {
+        return status_form[l->len] == '#' ? g_ascii_isdigit(c)
+                                          : c == status_form[l->len];
+    }
+    if (l->len == STATUS_FORM_LEN && c != ' ') {
+        return c == '\r' || c == '\n';
+    }
+    return is_text_byte(c) || c == '\r' || c == '\n';
+}
+
+size_t
+SpLine_Check(SpLine *l, const char *p, size_t n)
+{
+    size_t i;
+
+    for (i = 0; i < n && !l->ended && !l->invalid; i++) {
+        char c = p[i];
+        l->invalid = (l->last == '\r' && c != '\n') || !is_status_byte(l, c);
+        l->ended = c == '\n';
+        l->last = c;
+        l->len++;
+    }
+    return i;
+}
