Names and values of fields are checked

Callers got answers whose fields have a blank in the name, with that line passed on. `Content-Length : 5` counted as a length, `Content Length: 5` did not. The store's answers were believed in the same way.

Cause: http_parser, as Debian builds it, is not strict and takes a blank for a part of a name. Control bytes in names it finds itself; in values it finds them too, but in trailers after what has been read.

Change: the reader takes only tokens for names, and only visible characters, blanks, tabs and bytes above 127 in values (RFC 9110 5.1, 5.5). It is the reader of requests too: such a request gets 400, as RFC 9112 5.1 asks.

All 256 bytes in a name, a value and a reason: answers.c.

--- a/http/message.c
+++ b/http/message.c
@@ -151,6 +151,9 @@
     if (!finish_header(r)) {
         return 1;
     }
+    if (!SpSyntax_IsToken(s, n)) {
+        return 1;
+    }
     g_string_append_len(r->field, s, (gssize)n);
     return count_head_bytes(r, n + (is_new ? LINE_BYTES : 0));
 }
@@ -160,6 +163,9 @@
 {
     SpMsgReader *r = reader_of(p);
 
+    if (!SpSyntax_IsText(s, n)) {
+        return 1;
+    }
     r->has_value = 1;
     g_string_append_len(r->value, s, (gssize)n);
     return count_head_bytes(r, n);
--- a/http/priv.h
+++ b/http/priv.h
@@ -20,6 +20,11 @@
  * Syntax that http_parser does not check (syntax.c).
  */
 
+/* SpSyntax_IsToken returns 1 if all bytes may stand in the name of a field. */
+int SpSyntax_IsToken(const char *p, size_t n);
+/* SpSyntax_IsText returns 1 if all bytes may stand in the value of a field. */
+int SpSyntax_IsText(const char *p, size_t n);
+
 /* A line that is being checked. It begins as zeros. */
 typedef struct SpLine {
     size_t len; /* bytes seen */
--- a/http/syntax.c
+++ b/http/syntax.c
@@ -1,8 +1,11 @@
 /*
- * Syntax of HTTP/1.1 that http_parser leaves out as Debian builds it: it does
- * not look at the reason phrase or at the number of digits of a status. Rules
- * are those of RFC 9112 and RFC 9110.
+ * Syntax of HTTP/1.1 that http_parser leaves out as Debian builds it: it
+ * takes a blank for a part of a field name, and it does not look at the reason
+ * phrase or at the number of digits of a status. Rules are those of RFC 9112
+ * and RFC 9110.
  */
+#include <string.h>
+
 #include "http/priv.h"
 
 /* Status line up to the reason phrase; # is a digit. */
@@ -10,12 +13,39 @@
 #define STATUS_FORM_LEN (sizeof status_form - 1)
 #define STATUS_AT (STATUS_FORM_LEN - 3)
 
+int
+SpSyntax_IsToken(const char *p, size_t n)
+{
+    size_t i;
+
+    for (i = 0; i < n; i++) {
+        if (!p[i] ||
+            (!g_ascii_isalnum(p[i]) && !strchr("!#$%&'*+-.^_`|~", p[i]))) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
 static int
 is_text_byte(char c)
 {
     return c == '\t' || !g_ascii_iscntrl(c);
 }
 
+int
+SpSyntax_IsText(const char *p, size_t n)
+{
+    size_t i;
+
+    for (i = 0; i < n; i++) {
+        if (!is_text_byte(p[i])) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
 static int
 is_status_byte(const SpLine *l, char c)
 {
--- a/standin/spstore.c
+++ b/standin/spstore.c
@@ -4,7 +4,9 @@
  * read of at most max_kb, newest record of each key in pages (-i ITEMS a
  * page), trim. PUT /standin?mode=MODE selects how it responds: ok, down (503),
  * silent (no response), lost (appends take effect but get no response), slow
- * (pages are made SLOW_MS after their request). Its response counts the calls.
+ * (pages are made SLOW_MS after their request), broken (reads get responses
+ * that are none: a name of a field has a blank). Its response counts the
+ * calls.
  */
 #include <getopt.h>
 #include <jansson.h>
@@ -47,10 +49,17 @@
     int64_t at;
 } SlowPage;
 
-typedef enum { MODE_OK, MODE_DOWN, MODE_SILENT, MODE_LOST, MODE_SLOW } Mode;
+typedef enum {
+    MODE_OK,
+    MODE_DOWN,
+    MODE_SILENT,
+    MODE_LOST,
+    MODE_SLOW,
+    MODE_BROKEN
+} Mode;
 
-static const char *const mode_names[] = {"ok", "down", "silent", "lost",
-                                         "slow"};
+static const char *const mode_names[] = {"ok",   "down", "silent",
+                                         "lost", "slow", "broken"};
 
 static struct {
     uv_loop_t *loop;
@@ -92,6 +101,13 @@
 static void reply_json(SpHttpReq *r, int status, const char *fmt, ...)
     G_GNUC_PRINTF(3, 4);
 
+/* Returns a header line for the response to a read. */
+static const char *
+read_line(void)
+{
+    return store.mode == MODE_BROKEN ? "X Y: z\r\n" : "X-Y: z\r\n";
+}
+
 static void
 reply_json(SpHttpReq *r, int status, const char *fmt, ...)
 {
@@ -168,7 +184,7 @@
         append_number(b, rec->len, LENGTH_BYTES);
         g_byte_array_append(b, (const guint8 *)rec->bytes, (guint)rec->len);
     }
-    SpHttpReq_Respond(r, 200, "", (const char *)b->data, b->len);
+    SpHttpReq_Respond(r, 200, read_line(), (const char *)b->data, b->len);
     g_byte_array_unref(b);
 }
 
@@ -312,7 +328,7 @@
     o = json_pack("{s:o,s:b,s:I}", "items", p.items, "has_more", p.more,
                   "end_offset", (json_int_t)end_offset(t));
     text = json_dumps(o, JSON_COMPACT);
-    reply_json(r, 200, "%s", text);
+    SpHttpReq_Respond(r, 200, read_line(), text, strlen(text));
     free(text);
     json_decref(o);
     g_tree_destroy(keys);
--- a/test/answers.c
+++ b/test/answers.c
@@ -99,5 +99,51 @@
     free_raw_lines(lines);
 }
 
+/* Returns 1 if the reader takes the text, in which the byte stands, for a
+   whole message. */
+static int
+is_whole(enum http_parser_type type, const char *before, int byte,
+         const char *after)
+{
+    GString *s = g_string_new(before);
+    Seen seen;
+
+    if (byte >= 0) {
+        g_string_append_c(s, (char)byte);
+    }
+    g_string_append(s, after);
+    read_pieces(&seen, type, s, LIMIT_BYTES, 0, 0);
+    g_string_free(s, TRUE);
+    return seen.messages == 1;
+}
+
+#define END "\r\nContent-Length: 0\r\n\r\n"
+
+/* RFC 9110 5.6.2 and 5.5. A tab or line end moves on to something else. */
+static void
+test_bytes(void)
+{
+    static const char marks[] = "!#$%&'*+-.^_`|~";
+    int c;
+
+    for (c = 0; c < 256; c++) {
+        int name = c && (g_ascii_isalnum(c) || strchr(marks, c));
+        int text = c == '\t' || (c >= ' ' && c != 0x7f);
+        if (c != ':') {
+            CU_ASSERT_EQUAL(
+                is_whole(HTTP_RESPONSE, "HTTP/1.1 200 x\r\nX", c, "Y: z" END),
+                name);
+        }
+        if (c != '\n') {
+            CU_ASSERT_EQUAL(
+                is_whole(HTTP_RESPONSE, "HTTP/1.1 200 x\r\nX: a", c, "b" END),
+                text);
+            CU_ASSERT_EQUAL(
+                is_whole(HTTP_RESPONSE, "HTTP/1.1 200 a", c, "b" END), text);
+        }
+    }
+}
+
 const Unit answer_units[] = {{"answers", "pieces", test_pieces},
+                             {"answers", "bytes", test_bytes},
                              {NULL, NULL, NULL}};
