Chunks and line ends are checked

Callers got answers whose chunks are not what they say: data that goes on after its size, an end that is no CR LF, a size with other words behind it.

Cause: http_parser that is not strict takes any byte for the LF after a CR, any two bytes for the end of a chunk, and anything for an extension.

Change: the reader knows which part of a message it is in. Chunk lines are checked before they are parsed; at the end of a head, a chunk and a trailer the parser pauses, and the reader looks at the bytes there (RFC 9112 2.2, 7.1). An extension begins with a semicolon and has no control bytes. Requests are read so too.

--- a/http/message.c
+++ b/http/message.c
@@ -198,6 +198,8 @@
     }
     /* an Upgrade request is handled as a plain HTTP/1.1 request */
     p->upgrade = 0;
+    /* parse_head looks at the byte that ends the head */
+    http_parser_pause(p, 1);
     if (p->content_length != ULLONG_MAX && p->content_length > r->max_body) {
         r->state = SP_READ_BODY_TOO_LARGE;
         return -1;
@@ -205,6 +207,15 @@
     return r->skip_body ? 1 : 0;
 }
 
+/* The data of a chunk have ended, or the trailer. */
+static int
+on_chunk_end(http_parser *p)
+{
+    reader_of(p)->chunk_ended = 1;
+    http_parser_pause(p, 1);
+    return 0;
+}
+
 /* Takes the memory for a body of total bytes; returns 0 if there is none. An
    answer that does not say its length may be one without end. */
 static int
@@ -295,5 +306,6 @@
     .on_header_value = on_value,
     .on_headers_complete = on_headers,
     .on_body = on_body,
+    .on_chunk_complete = on_chunk_end,
     .on_message_complete = on_complete,
 };
--- a/http/priv.h
+++ b/http/priv.h
@@ -25,29 +25,41 @@
 /* SpSyntax_IsText returns 1 if all bytes may stand in the value of a field. */
 int SpSyntax_IsText(const char *p, size_t n);
 
+typedef enum {
+    SP_LINE_STATUS,
+    SP_LINE_CHUNK /* size and extensions */
+} SpLineKind;
+
 /* A line that is being checked. It begins as zeros. */
 typedef struct SpLine {
     size_t len; /* bytes seen */
     char last;  /* of them */
+    int in_extension;
     int ended;
     int invalid;
 } SpLine;
 
 /* SpLine_Check checks the bytes up to the end of the line; returns their
    number, which is less than n if the line has ended or is invalid. */
-size_t SpLine_Check(SpLine *l, const char *p, size_t n);
+size_t SpLine_Check(SpLine *l, SpLineKind kind, const char *p, size_t n);
 
 /* What the next bytes of a connection belong to. */
 typedef enum {
-    SP_PART_STATUS, /* empty lines, and the status line */
-    SP_PART_REST    /* of a response; the whole of a request */
+    SP_PART_STATUS,     /* empty lines, and the status line */
+    SP_PART_FIELDS,     /* of the head; of a request: the whole head */
+    SP_PART_BODY,       /* with a length, or up to the end */
+    SP_PART_CHUNK_LINE, /* of the next chunk */
+    SP_PART_CHUNK,      /* its data and the line end after them */
+    SP_PART_TRAILER
 } SpPart;
 
 /* Incremental parser of the messages of one connection. */
 typedef struct SpMsgReader {
     http_parser p;
     SpPart part;
-    SpLine line;       /* the status line being read */
+    SpLine line;       /* the status line or chunk line being read */
+    char last;         /* byte that was parsed */
+    int chunk_ended;   /* by the bytes just parsed */
     int message_ended; /* by the bytes just parsed */
     int stopped;       /* 1: done asked to stop after the message */
     SpMsg *msg;        /* being parsed; NULL between messages */
--- a/http/reader.c
+++ b/http/reader.c
@@ -17,7 +17,8 @@
 static void
 begin_message(SpMsgReader *r)
 {
-    begin_part(r, r->p.type == HTTP_RESPONSE ? SP_PART_STATUS : SP_PART_REST);
+    begin_part(r,
+               r->p.type == HTTP_RESPONSE ? SP_PART_STATUS : SP_PART_FIELDS);
 }
 
 void
@@ -73,11 +74,11 @@
     return parsed;
 }
 
-/* Bytes of a status line, checked before they are parsed. */
+/* Bytes of a status line or a chunk line, checked before they are parsed. */
 static size_t
-parse_line(SpMsgReader *r, const char *p, size_t n)
+parse_line(SpMsgReader *r, SpLineKind kind, const char *p, size_t n)
 {
-    n = SpLine_Check(&r->line, p, n);
+    n = SpLine_Check(&r->line, kind, p, n);
     if (r->line.invalid) {
         r->state = SP_READ_INVALID;
         return n;
@@ -94,22 +95,96 @@
     if (blank) {
         return execute(r, p, blank);
     }
-    n = parse_line(r, p, n);
+    n = parse_line(r, SP_LINE_STATUS, p, n);
     if (r->line.ended) {
-        begin_part(r, SP_PART_REST);
+        begin_part(r, SP_PART_FIELDS);
     }
     return n;
 }
 
+/* The head of a message, or what is left of it after the status line. The
+   parser stops before the byte that ends it. */
+static size_t
+parse_head(SpMsgReader *r, const char *p, size_t n)
+{
+    size_t parsed = execute(r, p, n);
+
+    if (!r->head_done || r->state != SP_READ_OK) {
+        return parsed;
+    }
+    if (p[parsed] != '\n') {
+        r->state = SP_READ_INVALID;
+        return parsed;
+    }
+    begin_part(r, r->p.flags & F_CHUNKED ? SP_PART_CHUNK_LINE : SP_PART_BODY);
+    return parsed + execute(r, p + parsed, 1);
+}
+
+static size_t
+parse_chunk_line(SpMsgReader *r, const char *p, size_t n)
+{
+    n = parse_line(r, SP_LINE_CHUNK, p, n);
+    if (r->line.ended) {
+        begin_part(r,
+                   r->p.flags & F_TRAILING ? SP_PART_TRAILER : SP_PART_CHUNK);
+    }
+    return n;
+}
+
+/* The data of a chunk and the CR LF after them. */
+static size_t
+parse_chunk(SpMsgReader *r, const char *p, size_t n)
+{
+    char before;
+
+    n = execute(r, p, n);
+    if (!r->chunk_ended) {
+        return n;
+    }
+    r->chunk_ended = 0;
+    before = n > 1 ? p[n - 2] : r->last;
+    if (before != '\r' || p[n - 1] != '\n') {
+        r->state = SP_READ_INVALID;
+    }
+    begin_part(r, SP_PART_CHUNK_LINE);
+    return n;
+}
+
+/* The fields after the last chunk. The parser stops before the byte that ends
+   them. */
+static size_t
+parse_trailer(SpMsgReader *r, const char *p, size_t n)
+{
+    size_t parsed = execute(r, p, n);
+
+    if (!r->chunk_ended) {
+        return parsed;
+    }
+    r->chunk_ended = 0;
+    if (p[parsed] != '\n') {
+        r->state = SP_READ_INVALID;
+        return parsed;
+    }
+    return parsed + execute(r, p + parsed, 1);
+}
+
 /* Parses at least one byte, unless it is invalid, and at most up to the end of
    the part of the message; returns the number of bytes. */
 static size_t
 parse_part(SpMsgReader *r, const char *p, size_t n)
 {
     static size_t (*const parse[])(SpMsgReader *, const char *, size_t) = {
-        [SP_PART_STATUS] = parse_status, [SP_PART_REST] = execute};
+        [SP_PART_STATUS] = parse_status,
+        [SP_PART_FIELDS] = parse_head,
+        [SP_PART_BODY] = execute,
+        [SP_PART_CHUNK_LINE] = parse_chunk_line,
+        [SP_PART_CHUNK] = parse_chunk,
+        [SP_PART_TRAILER] = parse_trailer};
 
     n = parse[r->part](r, p, n);
+    if (n) {
+        r->last = p[n - 1];
+    }
     if (r->message_ended) {
         r->message_ended = 0;
         begin_message(r);
--- a/test/answers.c
+++ b/test/answers.c
@@ -144,6 +144,36 @@
     }
 }
 
+/* The rules of fields, chunks and line ends are those of requests too. */
+static void
+test_requests(void)
+{
+    static const char chunked[] =
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    static const char *const whole[] = {
+        "5\r\nhello\r\n0\r\n\r\n", "5;a=\"b c\"\r\nhello\r\n0\r\nX: y\r\n\r\n",
+        "000\r\n\r\n"};
+    static const char *const broken[] = {
+        "5\r\nhello..0\r\n\r\n", "5 5\r\nhello\r\n0\r\n\r\n",
+        "5\r\nhello\r\n0\r\nX Y: z\r\n\r\n", "5\r\nhello\r\n0\r\n\r.",
+        "5\nhello\r\n0\r\n\r\n"};
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(whole); i++) {
+        CU_ASSERT(is_whole(HTTP_REQUEST, chunked, -1, whole[i]));
+    }
+    for (i = 0; i < G_N_ELEMENTS(broken); i++) {
+        CU_ASSERT(!is_whole(HTTP_REQUEST, chunked, -1, broken[i]));
+    }
+    CU_ASSERT(is_whole(HTTP_REQUEST, "\r\nGET / HTTP/1.1\r\nX|Y: a\tb\t", -1,
+                       "\r\n\r\n"));
+    CU_ASSERT(
+        !is_whole(HTTP_REQUEST, "GET / HTTP/1.1\r\nX", ' ', "Y: z\r\n\r\n"));
+    CU_ASSERT(
+        !is_whole(HTTP_REQUEST, "GET / HTTP/1.1\r\nX: a", 1, "b\r\n\r\n"));
+}
+
 const Unit answer_units[] = {{"answers", "pieces", test_pieces},
                              {"answers", "bytes", test_bytes},
+                             {"answers", "requests", test_requests},
                              {NULL, NULL, NULL}};
