Blanks and tabs around a value are no part of it

A legal answer with a tab after its length got its caller a 502; one with a tab after its coding a 504. A blank after the attempt id made the answer one to another request.

Cause: http_parser takes only blanks after a length or a coding, and leaves them at the end of other values.

Change: the reader cuts them off, and passes a tab in these two fields as a blank (RFC 9112 5, OWS).

--- a/http/message.c
+++ b/http/message.c
@@ -120,6 +120,15 @@
     return count_head_bytes(r, n);
 }
 
+/* Removes blanks at the end of a value, which are no part of it. */
+static void
+trim_end(GString *s)
+{
+    while (s->len && strchr(" \t", s->str[s->len - 1])) {
+        g_string_truncate(s, s->len - 1);
+    }
+}
+
 /* Returns 0 if there is no memory for the header. */
 static int
 finish_header(SpMsgReader *r)
@@ -132,6 +141,7 @@
     if (!hold_head(r, HEADER_BYTES)) {
         return 0;
     }
+    trim_end(r->value);
     h.name = SpArena_Dup(r->msg->arena, r->field->str, r->field->len);
     h.value = SpArena_Dup(r->msg->arena, r->value->str, r->value->len);
     g_array_append_val(r->headers, h);
--- a/http/reader.c
+++ b/http/reader.c
@@ -56,6 +56,13 @@
     return i;
 }
 
+static int
+is_framing_field(const char *name)
+{
+    return strcasecmp(name, "Content-Length") == 0 ||
+           strcasecmp(name, "Transfer-Encoding") == 0;
+}
+
 /* Passes n bytes to the parser; returns the number parsed, up to the next
    pause. */
 static size_t
@@ -74,6 +81,19 @@
     return parsed;
 }
 
+/* Field lines, in a head or a trailer. The parser takes only a blank, not a
+   tab, beside the value of a field on which the framing depends. */
+static size_t
+parse_fields(SpMsgReader *r, const char *p, size_t n)
+{
+    const char *tab = memchr(p, '\t', n);
+
+    if (tab == p && is_framing_field(r->field->str)) {
+        return execute(r, " ", 1);
+    }
+    return execute(r, p, tab && tab > p ? (size_t)(tab - p) : n);
+}
+
 /* Bytes of a status line or a chunk line, checked before they are parsed. */
 static size_t
 parse_line(SpMsgReader *r, SpLineKind kind, const char *p, size_t n)
@@ -107,7 +127,7 @@
 static size_t
 parse_head(SpMsgReader *r, const char *p, size_t n)
 {
-    size_t parsed = execute(r, p, n);
+    size_t parsed = parse_fields(r, p, n);
 
     if (!r->head_done || r->state != SP_READ_OK) {
         return parsed;
@@ -155,7 +175,7 @@
 static size_t
 parse_trailer(SpMsgReader *r, const char *p, size_t n)
 {
-    size_t parsed = execute(r, p, n);
+    size_t parsed = parse_fields(r, p, n);
 
     if (!r->chunk_ended) {
         return parsed;
--- a/test/answers.c
+++ b/test/answers.c
@@ -173,7 +173,36 @@
         !is_whole(HTTP_REQUEST, "GET / HTTP/1.1\r\nX: a", 1, "b\r\n\r\n"));
 }
 
+/* Blanks around a value are no part of it. */
+static int
+check_value(void *ctx, SpMsg *m)
+{
+    *(int *)ctx = strcmp(SpMsg_Header(m, "X"), "a \tb") == 0;
+    SpMsg_Free(m);
+    return 1;
+}
+
+static void
+test_blanks(void)
+{
+    static const char text[] = "HTTP/1.1 200 x\r\nX: \t a \tb \t" END;
+    SpMsgReader r;
+    int same = 0;
+    size_t i;
+
+    SpMsgReader_Init(&r, HTTP_RESPONSE);
+    r.done = check_value;
+    r.ctx = &same;
+    r.max_head = r.max_body = LIMIT_BYTES;
+    for (i = 0; i + 1 < sizeof text; i++) {
+        CU_ASSERT_EQUAL(SpMsgReader_Feed(&r, text + i, 1), 1);
+    }
+    CU_ASSERT(same);
+    SpMsgReader_Clear(&r);
+}
+
 const Unit answer_units[] = {{"answers", "pieces", test_pieces},
                              {"answers", "bytes", test_bytes},
                              {"answers", "requests", test_requests},
+                             {"answers", "blanks", test_blanks},
                              {NULL, NULL, NULL}};
