Transfer codings but one chunked are no answer

Callers got bodies that are not the instance's: coded by gzip with the field that says so left out, or chunk sizes and all as the body.

Cause: http_parser undoes chunked and leaves the other codings to its user; with one that it does not know at the end it reads up to the close. The reader did not look, and relays do not pass the field on.

Change: a coding other than chunked, once, or any in an HTTP/1.0 answer, is a failure (RFC 9112 6.1). We ask for no other: a legal answer has none.

Failed before, hold now (11 cases): coding-1-0, coding-empty, coding-identity, coding-not-last, coding-other, coding-other-chunked, coding-other-line, coding-prefix, coding-suffix, coding-twice, coding-two-lines

--- a/http/message.c
+++ b/http/message.c
@@ -181,6 +181,27 @@
     return count_head_bytes(r, n);
 }
 
+/*
+ * Returns 1 if the head of a response says how its body is sent, and the body
+ * is then the one that the server meant: without a coding of the transfer but
+ * chunked, which is known since HTTP/1.1 only.
+ */
+static int
+has_valid_framing(const SpMsgReader *r, const SpMsg *m)
+{
+    int i, codings = 0;
+
+    for (i = 0; i < m->nheaders; i++) {
+        if (strcasecmp(m->headers[i].name, "Transfer-Encoding") == 0) {
+            codings++;
+            if (strcasecmp(m->headers[i].value, "chunked") != 0) {
+                return 0;
+            }
+        }
+    }
+    return codings == 0 || (codings == 1 && r->p.http_minor > 0);
+}
+
 static int
 on_headers(http_parser *p)
 {
@@ -208,6 +229,9 @@
     }
     /* an Upgrade request is handled as a plain HTTP/1.1 request */
     p->upgrade = 0;
+    if (p->type == HTTP_RESPONSE && !has_valid_framing(r, m)) {
+        return -1;
+    }
     /* parse_head looks at the byte that ends the head */
     http_parser_pause(p, 1);
     if (p->content_length != ULLONG_MAX && p->content_length > r->max_body) {
