Answers without a body end with their head

Callers waited to the time budget for a legal 304 that states the length of what it stands for. An interim answer with a length swallowed the first bytes of the final one.

Cause: the reader skipped the body for HEAD only.

Change: 1xx, 204 and 304 end with the head, whatever it says (RFC 9112 6.3). 101 is a failure: no request of ours asks for it, and what follows is not HTTP.

--- a/http/message.c
+++ b/http/message.c
@@ -15,6 +15,7 @@
 #define LINE_BYTES 3
 /* Size up to which the buffers for heads are kept. */
 #define KEPT_HEAD_BYTES ((size_t)1 << 10)
+#define STATUS_SWITCHING_PROTOCOLS 101
 
 static SpMsgReader *
 reader_of(http_parser *p)
@@ -181,6 +182,13 @@
     return count_head_bytes(r, n);
 }
 
+/* Returns 1 if a response has no body, whatever its head says. */
+static int
+is_bodiless(const SpMsgReader *r, int status)
+{
+    return r->skip_body || status / 100 == 1 || status == 204 || status == 304;
+}
+
 /*
  * Returns 1 if the head of a response says how its body is sent, and the body
  * is then the one that the server meant: without a coding of the transfer but
@@ -191,6 +199,12 @@
 {
     int i, codings = 0;
 
+    if (m->status == STATUS_SWITCHING_PROTOCOLS) {
+        return 0; /* no request asks for it */
+    }
+    if (is_bodiless(r, m->status)) {
+        return 1;
+    }
     for (i = 0; i < m->nheaders; i++) {
         if (strcasecmp(m->headers[i].name, "Transfer-Encoding") == 0) {
             codings++;
@@ -234,11 +248,14 @@
     }
     /* parse_head looks at the byte that ends the head */
     http_parser_pause(p, 1);
+    if (p->type == HTTP_RESPONSE && is_bodiless(r, m->status)) {
+        return 1;
+    }
     if (p->content_length != ULLONG_MAX && p->content_length > r->max_body) {
         r->state = SP_READ_BODY_TOO_LARGE;
         return -1;
     }
-    return r->skip_body ? 1 : 0;
+    return 0;
 }
 
 /* The data of a chunk have ended, or the trailer. */
--- a/test/answers.c
+++ b/test/answers.c
@@ -144,6 +144,22 @@
     }
 }
 
+/* RFC 9110 15: three digits from 100 to 599. The interim ones are followed by
+   a final one; 101 is never asked for. */
+static void
+test_statuses(void)
+{
+    char text[128];
+    int status;
+
+    for (status = 0; status < 1000; status++) {
+        int valid = status >= 100 && status <= 599 && status != 101;
+        g_snprintf(text, sizeof text, "HTTP/1.1 %03d x" END "%s", status,
+                   status / 100 == 1 ? "HTTP/1.1 200 x" END : "");
+        CU_ASSERT_EQUAL(is_whole(HTTP_RESPONSE, text, -1, ""), valid);
+    }
+}
+
 /* The rules of fields, chunks and line ends are those of requests too. */
 static void
 test_requests(void)
@@ -203,6 +219,7 @@
 
 const Unit answer_units[] = {{"answers", "pieces", test_pieces},
                              {"answers", "bytes", test_bytes},
+                             {"answers", "statuses", test_statuses},
                              {"answers", "requests", test_requests},
                              {"answers", "blanks", test_blanks},
                              {NULL, NULL, NULL}};
