spnode reads answers with the reader of http/

Callers of a node got a chunked body that was cut, by a close or a reset, as a complete 200, and statuses of 000 and 999; a legal answer that ends with its connection became 502. A length below zero ended the process.

Cause: the HTTP client of h2o. It ends the process by an assertion on a length or a coding that it does not expect, legal ones among them (blanks after a length, `ChunKed`), takes the end of the connection for the end of the chunks, and cannot tell a reset from a close.

Change: web/client.c sends through the pools of http/, one for each address, with the same interface. An exchange has a size limit of its own, and may end at an answer that names another request, as before.

--- a/Makefile
+++ b/Makefile
@@ -10,13 +10,13 @@
 LDFLAGS += -fsanitize=address,undefined
 endif
 CPPFLAGS = -I. $(shell pkg-config --cflags $(PKGS))
-LIBS = -lh2o -luv -lzmq -lssl -lcrypto -lmsgpackc -lm \
+LIBS = -lh2o -lhttp_parser -luv -lzmq -lssl -lcrypto -lmsgpackc -lm \
 	$(shell pkg-config --libs $(PKGS))
 
 LIBDIRS = base conf core flow
 LIBSRC = $(wildcard $(addsuffix /*.c,$(LIBDIRS)))
 LIBOBJ = $(LIBSRC:%.c=$(OUT)/%.o)
-WEBOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard web/*.c call/*.c))
+WEBOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard web/*.c call/*.c http/*.c))
 NODEOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard node/*.c))
 RELAYOBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard relay/*.c platform/*.c \
 	http/*.c))
--- a/http/http.h
+++ b/http/http.h
@@ -7,8 +7,9 @@
  * that got a response. A response cut off by a reset is incomplete; one
  * without a length is complete when the peer closes the connection by a FIN.
  *
- * It exists beside web/, which is built on h2o, because h2o's client reports a
- * reset within a body without a length as a regular end of the body.
+ * All answers that a program reads come through its reader: of instances, of
+ * the store, and those that web/ fetches. What is not an answer by the rules
+ * of HTTP/1.1 (docs/design/answers.md) is a failure of the exchange.
  */
 #ifndef SP_HTTP_H
 #define SP_HTTP_H
@@ -211,6 +212,7 @@
 /* What a response is to the request that waits for one. */
 typedef enum {
     SP_REPLY_OTHER,    /* of another request */
+    SP_REPLY_FAILURE,  /* of another request; its own is not waited for */
     SP_REPLY_FINAL,    /* its answer; it is not sent again */
     SP_REPLY_REJECTION /* its answer; it may be sent again with the same key */
 } SpReplyMatch;
@@ -220,7 +222,8 @@
     size_t head_len;
     const char *body;
     size_t body_len;
-    int is_head;        /* 1: HEAD request, the response has no body */
+    size_t max_response_bytes; /* size limit of the body; 0: of the pool */
+    int is_head;               /* 1: HEAD request, the response has no body */
     int own_connection; /* 1: on a connection that carries no other request */
     /*
      * key is a hash of what names the request in its responses; 0: nothing
--- a/http/pool.c
+++ b/http/pool.c
@@ -39,6 +39,7 @@
     size_t out_len;
     int sent;
     int is_head;
+    size_t max_response_bytes;
     guint key;
     int64_t key_until;
     SpReplyMatch (*match)(void *data, const SpMsg *m, int first);
@@ -134,6 +135,11 @@
         return 1;
     }
     match = match_response(c, m);
+    if (match == SP_REPLY_FAILURE) {
+        x->error = "response-of-another";
+        SpMsg_Free(m);
+        return 1;
+    }
     if (match == SP_REPLY_OTHER) {
         c->p->counts.discarded++;
         c->no_reuse = 1;
@@ -270,13 +276,15 @@
         return;
     }
     c->r.skip_body = c->x->is_head;
+    c->r.max_body = c->x->max_response_bytes ? c->x->max_response_bytes
+                                             : c->p->o.body_bytes;
     consumed = SpMsgReader_Feed(&c->r, buf->base, (size_t)n);
     if (c->x->response) {
         finish_response(c, consumed < (size_t)n || c->r.msg != NULL);
         return;
     }
-    if (c->r.state != SP_READ_OK) {
-        fail(c, read_errors[c->r.state]);
+    if (c->x->error || c->r.state != SP_READ_OK) {
+        fail(c, c->x->error ? c->x->error : read_errors[c->r.state]);
     }
 }
 
@@ -382,6 +390,7 @@
     SpExchange *x = g_new0(SpExchange, 1);
 
     x->is_head = o->is_head;
+    x->max_response_bytes = o->max_response_bytes;
     x->key = o->key;
     x->key_until = o->key_until;
     x->match = o->match;
--- a/web/priv.h
+++ b/web/priv.h
@@ -5,8 +5,8 @@
 #include <h2o.h>
 #include <h2o/http1.h>
 #include <h2o/http2.h>
-#include <h2o/http1client.h>
 
+#include "http/http.h"
 #include "web/web.h"
 
 struct SpWeb {
@@ -23,9 +23,9 @@
     int nending;        /* clients that are being closed */
     uv_check_t check;   /* looks at the clients */
     int64_t checked_at;
-    h2o_timeout_t io_timeout;
-    h2o_http1client_ctx_t client;
-    GHashTable *pools; /* address -> h2o_socketpool_t */
+    GPtrArray *pools;         /* of SpPool */
+    GHashTable *pool_by_addr; /* address -> one of them */
+    uv_timer_t tick;          /* of them; started with the first */
 };
 
 typedef struct Listener {
--- a/web/server.c
+++ b/web/server.c
@@ -204,7 +204,8 @@
     w->listeners = g_ptr_array_new();
     w->clients = g_ptr_array_new();
     w->req_by_sock = g_hash_table_new(NULL, NULL);
-    w->pools = g_hash_table_new(g_str_hash, g_str_equal);
+    w->pools = g_ptr_array_new();
+    w->pool_by_addr = g_hash_table_new(g_str_hash, g_str_equal);
     h2o_config_init(&w->conf);
     w->conf.server_name = h2o_iovec_init(H2O_STRLIT("siskinpond"));
     w->conf.max_request_entity_size = o->body_bytes;
@@ -299,10 +300,7 @@
             add_host(w, &none); /* h2o needs a host even without listeners */
         }
         h2o_context_init(&w->ctx, w->loop, &w->conf);
-        h2o_timeout_init(w->loop, &w->io_timeout, 60000);
         watch_clients(w);
-        w->client.loop = w->loop;
-        w->client.io_timeout = &w->io_timeout;
     }
 }
 
--- a/web/web.h
+++ b/web/web.h
@@ -1,9 +1,10 @@
 /*
- * web: HTTP server and client on h2o and libuv.
+ * web: HTTP server on h2o and libuv, and the client of http/ for its users.
  *
  * Requests and responses are buffered completely. The server tells the handler
- * if the client disconnects before the response. The client treats a response
- * that is cut off or has no length as an error.
+ * if the client disconnects before the response. The client is not that of
+ * h2o: that one ends the process on a length below zero, takes a chunked body
+ * that is cut off for a whole one, and reports a reset as the end of a body.
  */
 #ifndef SP_WEB_H
 #define SP_WEB_H
