spinst: a report is accepted by a whole answer

The stand-in looked at the first bytes of the answer to a heartbeat, and took 200 at the tenth byte for an acknowledgement.

--- a/standin/inst.h
+++ b/standin/inst.h
@@ -49,6 +49,9 @@
 /* read_head reads the head of a request; bytes received after it stay in buf.
    Returns 0 if the connection ended. */
 int read_head(int fd, char *buf, size_t *len, Request *r);
+/* read_status reads a whole answer; returns its status, or 0 if it is broken
+   or the connection ends before. */
+int read_status(int fd);
 /* skip_body returns 0 if the connection ended. */
 int skip_body(int fd, char *buf, size_t *len, size_t body);
 
--- a/standin/instnet.c
+++ b/standin/instnet.c
@@ -5,8 +5,12 @@
 #include <sys/socket.h>
 #include <time.h>
 
+#include "http/priv.h"
 #include "standin/inst.h"
 
+/* Size limit of the head and of the body of an answer to a report. */
+#define ANSWER_BYTES 4096
+
 void
 sleep_ms(int ms)
 {
@@ -109,6 +113,39 @@
     return 1;
 }
 
+static int
+take_status(void *ctx, SpMsg *m)
+{
+    *(int *)ctx = m->status;
+    SpMsg_Free(m);
+    return 1;
+}
+
+int
+read_status(int fd)
+{
+    char buf[ANSWER_BYTES];
+    SpMsgReader r;
+    int status = 0;
+    ssize_t n;
+
+    SpMsgReader_Init(&r, HTTP_RESPONSE);
+    r.done = take_status;
+    r.ctx = &status;
+    r.max_head = r.max_body = ANSWER_BYTES;
+    do {
+        n = recv(fd, buf, sizeof buf, 0);
+        if (n > 0) {
+            SpMsgReader_Feed(&r, buf, (size_t)n);
+        }
+        else if (n == 0) {
+            SpMsgReader_End(&r);
+        }
+    } while (n > 0 && !status && r.state == SP_READ_OK);
+    SpMsgReader_Clear(&r);
+    return status;
+}
+
 int
 skip_body(int fd, char *buf, size_t *len, size_t body)
 {
--- a/standin/spinst.c
+++ b/standin/spinst.c
@@ -81,9 +81,8 @@
 report(const char *method, const char *state)
 {
     struct sockaddr_in sa;
-    char response[512], body[512], *s;
+    char body[512], *s;
     int fd = socket(AF_INET, SOCK_STREAM, 0), ok = 0;
-    ssize_t n;
 
     g_snprintf(body, sizeof body,
                "{\"address\":\"%s\",\"born\":%lld,\"info\":{\"service\":"
@@ -98,8 +97,7 @@
     if (make_addr(inst.control, &sa) &&
         connect(fd, (struct sockaddr *)&sa, sizeof sa) == 0) {
         send_text(fd, s);
-        n = recv(fd, response, sizeof response - 1, 0);
-        ok = n > 12 && strncmp(response + 9, "200", 3) == 0;
+        ok = read_status(fd) / 100 == 2;
     }
     close(fd);
     g_free(s);
