A tab after a length counts behind other tabs too

make fuzz, which is to read each input whole and by the byte, found an input that came out in two ways: with a tab in a value before it, a legal length or coding with a tab after it was an error when both came in one read.

Cause: since a tab in another field passed everything behind it to the parser at once. Change: each tab is passed by itself.

--- a/http/reader.c
+++ b/http/reader.c
@@ -88,10 +88,10 @@
 {
     const char *tab = memchr(p, '\t', n);
 
-    if (tab == p && is_framing_field(r->field->str)) {
-        return execute(r, " ", 1);
+    if (tab == p) {
+        return execute(r, is_framing_field(r->field->str) ? " " : p, 1);
     }
-    return execute(r, p, tab && tab > p ? (size_t)(tab - p) : n);
+    return execute(r, p, tab ? (size_t)(tab - p) : n);
 }
 
 /* Bytes of a status line or a chunk line, checked before they are parsed. */
