Fuzzing: what the reader lets through, and in which pieces

The target of HTTP messages looked for crashes only, and its corpus held none of the protocol: 19 uses of "HTT" in 400000 runs. It starts from the cases of test/answers.txt now (sptest seeds), reads each input in halves and by the byte, and aborts if they differ, or if a message could not be passed on as it is.

--- a/Makefile
+++ b/Makefile
@@ -106,8 +106,9 @@
 
 # libFuzzer on the parsers of untrusted input. FUZZ_RUNS limits the inputs.
 FUZZ_RUNS = 200000
-fuzz:
+fuzz: $(OUT)/sptest
 	@mkdir -p out/fuzz out/corpus
+	@$(OUT)/sptest seeds out/corpus
 	clang $(CPPFLAGS) -std=c11 -D_GNU_SOURCE -g -O1 \
 		-fsanitize=fuzzer,address,undefined -o out/fuzz/spfuzz \
 		test/fuzz.c test/fuzz_wire.c $(LIBSRC) $(wildcard platform/*.c http/*.c) \
--- a/test/answers.c
+++ b/test/answers.c
@@ -5,6 +5,7 @@
 
 #include "http/priv.h"
 #include "standin/rawtext.h"
+#include "test/fuzz.h"
 #include "test/test.h"
 
 #define FILE_NAME "test/answers.txt"
@@ -89,7 +90,10 @@
     GArray *lines = read_raw_lines(FILE_NAME);
     guint i, k;
 
-    CU_ASSERT_PTR_NOT_NULL_FATAL(lines);
+    CU_ASSERT_PTR_NOT_NULL(lines);
+    if (!lines) {
+        return;
+    }
     CU_ASSERT(lines->len > 100);
     for (i = 0; i < lines->len; i++) {
         for (k = 0; k < G_N_ELEMENTS(pieces); k++) {
@@ -217,6 +221,28 @@
     SpMsgReader_Clear(&r);
 }
 
+int
+write_seeds(const char *dir)
+{
+    GArray *lines = read_raw_lines(FILE_NAME);
+    int ok = lines != NULL;
+    guint i;
+
+    for (i = 0; ok && i < lines->len; i++) {
+        const RawLine *l = &g_array_index(lines, RawLine, i);
+        GString *s = expand_raw(l->bytes, "X-Id: 1\r\n");
+        char *file = g_build_filename(dir, l->name, NULL);
+        g_string_prepend_c(s, SP_FUZZ_RESPONSE);
+        ok = g_file_set_contents(file, s->str, (gssize)s->len, NULL);
+        g_free(file);
+        g_string_free(s, TRUE);
+    }
+    if (lines) {
+        free_raw_lines(lines);
+    }
+    return !ok;
+}
+
 const Unit answer_units[] = {{"answers", "pieces", test_pieces},
                              {"answers", "bytes", test_bytes},
                              {"answers", "statuses", test_statuses},
--- a/test/fuzz_wire.c
+++ b/test/fuzz_wire.c
@@ -1,6 +1,7 @@
 /* Fuzz targets for messages of the platform, instances, callers and relays. */
 #include "test/fuzz.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "http/priv.h"
@@ -63,39 +64,82 @@
     g_free(m.body);
 }
 
+/* Aborts, which the fuzzer reports, if the message could not be passed on as
+   it is. */
+static void
+check_msg(const SpMsg *m)
+{
+    int i;
+
+    if (!m->method && (m->status < 200 || m->status > 599)) {
+        abort();
+    }
+    for (i = 0; i < m->nheaders; i++) {
+        const SpHeader *h = &m->headers[i];
+        if (!*h->name || !SpSyntax_IsToken(h->name, strlen(h->name)) ||
+            !SpSyntax_IsText(h->value, strlen(h->value))) {
+            abort();
+        }
+    }
+}
+
+/* What was read of a connection: the messages, and the bytes of their bodies.
+ */
+typedef struct Seen {
+    int messages;
+    size_t bytes;
+} Seen;
+
 static int
 take_msg(void *ctx, SpMsg *m)
 {
+    Seen *seen = ctx;
     SpRequestInfo a;
     SpReplyInfo r;
 
+    check_msg(m);
     if (m->method) {
         SpPlatform_Adapter.read_request(m, &a);
     }
     else {
         SpPlatform_Adapter.read_reply(m, "id", &r);
     }
+    seen->messages++;
+    seen->bytes += m->body_len;
     SpMsg_Free(m);
-    *(int *)ctx += 1;
     return 0;
 }
 
-static void
-fuzz_http(const char *p, size_t n, enum http_parser_type type)
+static Seen
+read_all(const char *p, size_t n, enum http_parser_type type, size_t piece)
 {
     SpMsgReader r;
-    int seen = 0;
-    size_t half = n / 2;
+    Seen seen = {0, 0};
+    size_t i, k;
 
     SpMsgReader_Init(&r, type);
     r.done = take_msg;
     r.ctx = &seen;
     r.max_head = r.max_body = 4096;
-    if (SpMsgReader_Feed(&r, p, half) == half) {
-        SpMsgReader_Feed(&r, p + half, n - half);
+    for (i = 0; i < n && r.state == SP_READ_OK; i += k) {
+        k = MIN(piece, n - i);
+        SpMsgReader_Feed(&r, p + i, k);
     }
     SpMsgReader_End(&r);
     SpMsgReader_Clear(&r);
+    return seen;
+}
+
+/* The pieces in which bytes arrive make no difference. */
+static void
+fuzz_http(const char *p, size_t n, enum http_parser_type type)
+{
+    Seen whole = read_all(p, n, type, n / 2 + 1);
+    Seen bytes = read_all(p, n, type, 1);
+
+    if (whole.messages != bytes.messages || whole.bytes != bytes.bytes) {
+        abort();
+    }
 }
 
 static int
--- a/test/test.h
+++ b/test/test.h
@@ -17,6 +17,9 @@
 
 /* answers.c */
 extern const Unit answer_units[];
+/* write_seeds writes the cases of test/answers.txt as inputs of the fuzz
+   target, a file each; returns the exit status */
+int write_seeds(const char *dir);
 
 /* eviction.c */
 extern const Unit eviction_units[];
