--- a/base/base.h
+++ b/base/base.h
@@ -32,6 +32,16 @@
 char *SpArena_Str(SpArena *a, const char *s);
 void SpArena_Free(SpArena *a);
 
+/*
+ * Name: a shared copy of a text of any length, such as the name of a route or
+ * a node. Equal names share one copy, which is freed with its last owner.
+ */
+const char *SpName_New(const char *s);
+/* SpName_Free gives one copy back; name may be NULL. */
+void SpName_Free(const char *name);
+/* SpName_Set replaces *to, which is NULL or an owned name, by a copy of s. */
+void SpName_Set(const char **to, const char *s);
+
 /*
  * Error kinds: every way in which a call can end. The table in kind.c maps
  * each kind to its HTTP response, whose text explains the kind.
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -60,6 +60,10 @@
                  const char *place, SpProblems *ps);
 void SpRead_Bool(const SpField *f, const json_t *v, void *dst,
                  const char *place, SpProblems *ps);
+/* SpRead_Text accepts a string of any length; dst is a char *, which is
+   allocated. */
+void SpRead_Text(const SpField *f, const json_t *v, void *dst,
+                 const char *place, SpProblems *ps);
 /* SpRead_Str accepts any string of at most size - 1 bytes. */
 void SpRead_Str(const SpField *f, const json_t *v, void *dst,
                 const char *place, SpProblems *ps);
--- a/conf/fields.c
+++ b/conf/fields.c
@@ -213,6 +213,21 @@
     g_strlcpy(dst, json_string_value(v), f->size);
 }
 
+void
+SpRead_Text(const SpField *f, const json_t *v, void *dst, const char *place,
+            SpProblems *ps)
+{
+    char **to = dst;
+
+    (void)f;
+    if (!json_is_string(v)) {
+        SpProblems_Add(ps, place, "must be a string, not %s", type_name(v));
+        return;
+    }
+    g_free(*to);
+    *to = g_strdup(json_string_value(v));
+}
+
 void
 SpRead_Name(const SpField *f, const json_t *v, void *dst, const char *place,
             SpProblems *ps)
--- a/flow/capacity.c
+++ b/flow/capacity.c
@@ -63,13 +63,13 @@
 static int
 route_index(SpCapacity *c, const char *name)
 {
-    guint hash = g_str_hash(name);
+    uint64_t hash = SpHash(name, strlen(name), 0);
     SpCapacityRoute *r;
     int i;
 
     for (i = 0; i < c->nroutes; i++) {
         r = &c->routes[i];
-        if (r->hash == hash && strcmp(r->name, name) == 0) {
+        if (r->hash == hash) {
             return i;
         }
     }
@@ -79,7 +79,6 @@
     r = &c->routes[c->nroutes];
     memset(r, 0, sizeof *r);
     r->hash = hash;
-    g_strlcpy(r->name, name, sizeof r->name);
     return c->nroutes++;
 }
 
--- a/flow/capacity.h
+++ b/flow/capacity.h
@@ -26,8 +26,7 @@
 #define SP_CAPACITY_ROUTES 32
 
 typedef struct SpCapacityRoute {
-    guint hash; /* of its name */
-    char name[SP_FLOW_NAME];
+    uint64_t hash; /* of its name */
     uint64_t answered;
     double mean_us;   /* smoothed run time */
     double weight_us; /* of its runs among those of all routes */
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -9,12 +9,24 @@
     uint64_t digest;   /* exclusive or of the hashes of all entries */
 };
 
+static void
+free_entry(gpointer p)
+{
+    SpNodeInfo *m = p;
+
+    SpName_Free(m->name);
+    SpName_Free(m->zone);
+    SpName_Free(m->service);
+    g_free(m);
+}
+
 SpDirectory *
 SpDirectory_New(void)
 {
     SpDirectory *dir = g_new0(SpDirectory, 1);
 
-    dir->names = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    dir->names =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
     dir->addrs = g_hash_table_new(g_str_hash, g_str_equal);
     return dir;
 }
@@ -47,6 +59,17 @@
     g_hash_table_remove(dir->names, m->name);
 }
 
+static SpNodeInfo *
+copy_entry(const SpNodeInfo *m)
+{
+    SpNodeInfo *copy = g_memdup2(m, sizeof *m);
+
+    copy->name = SpName_New(m->name);
+    copy->zone = SpName_New(m->zone);
+    copy->service = SpName_New(m->service);
+    return copy;
+}
+
 int
 SpDirectory_Put(SpDirectory *dir, const SpNodeInfo *m, int64_t now)
 {
@@ -59,16 +82,16 @@
          at_addr->started_us >= m->started_us)) {
         return 0;
     }
+    copy = copy_entry(m);
     if (known) {
         remove_entry(dir, known);
     }
     if (at_addr && at_addr != known) {
         remove_entry(dir, at_addr);
     }
-    copy = g_memdup2(m, sizeof *m);
     copy->learned_at = now;
     copy->unreachable = copy->gone = 0;
-    g_hash_table_insert(dir->names, copy->name, copy);
+    g_hash_table_insert(dir->names, (gpointer)copy->name, copy);
     g_hash_table_insert(dir->addrs, copy->addr, copy);
     dir->digest ^= hash_entry(copy);
     return 1;
--- a/flow/directory.h
+++ b/flow/directory.h
@@ -13,11 +13,12 @@
 
 #define SP_NODE_ADDR 32
 
+/* The names belong to the directory, or to whoever made the struct. */
 typedef struct SpNodeInfo {
-    char name[SP_FLOW_NAME];
+    const char *name;
+    const char *zone;
+    const char *service;
     char addr[SP_NODE_ADDR]; /* for links */
-    char zone[SP_FLOW_NAME];
-    char service[SP_FLOW_NAME];
     uint64_t started_us; /* wall clock at the start of its process; 0: unknown
                           */
     int64_t learned_at;  /* when this entry was added or replaced here */
@@ -31,9 +32,9 @@
 SpDirectory *SpDirectory_New(void);
 void SpDirectory_Free(SpDirectory *dir);
 /*
- * SpDirectory_Put stores a copy of *m unless the entry of that name has the
- * same or a later start. A node that started later at the address of another
- * one replaces it. Returns 1 if the directory changed.
+ * SpDirectory_Put stores a copy of *m and its names unless the entry of that
+ * name has the same or a later start. A node that started later at the address
+ * of another one replaces it. Returns 1 if the directory changed.
  */
 int SpDirectory_Put(SpDirectory *dir, const SpNodeInfo *m, int64_t now);
 /* SpDirectory_Get returns NULL if the name is unknown. */
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -12,7 +12,6 @@
 #include "flow/fairqueue.h"
 #include "flow/ranks.h"
 
-#define SP_FLOW_NAME 64
 /* Each rank has two queues: nested requests are served before new ones. */
 #define SP_LIMITER_QUEUES (2 * SP_MAX_RANKS)
 
@@ -39,9 +38,6 @@
     int64_t aim_us; /* target latency; 0: none */
 } SpPathRoute;
 
-/* Maximum length of a prefix. */
-#define SP_PREFIX_BYTES 255
-
 typedef struct SpRouteLimits {
     int64_t header_bytes, body_bytes;
     int64_t header_us, idle_us;
@@ -49,8 +45,8 @@
 
 /* Configuration of the instances of a service. */
 typedef struct SpServiceConf {
-    int connections; /* limit of one instance; 0: not configured */
-    char check[128]; /* path of the status check; empty: none */
+    int connections;   /* limit of one instance; 0: not configured */
+    const char *check; /* path of the status check; NULL: none */
 } SpServiceConf;
 
 /* A configuration, reference-counted: a request keeps the version that it
@@ -60,7 +56,7 @@
     SpRouteLimits limits;
     SpArena *arena; /* of the routes */
     guint nroutes;
-    GHashTable *hosts;        /* name to a table of prefix to SpPathRoute */
+    GHashTable *hosts;        /* name to SpHostRoutes */
     GHashTable *services;     /* name to SpServiceConf */
     SpWorkspaces *workspaces; /* NULL: callers need no key */
     SpRankSet route_ranks;    /* that occur */
@@ -84,7 +80,7 @@
 /* SpRoutes_SetWorkspaces takes over the workspaces, after all routes were
    added, and orders the ranks of both. */
 void SpRoutes_SetWorkspaces(SpRoutes *rs, SpWorkspaces *ws);
-/* SpRoutes_SetService stores a copy of *c. */
+/* SpRoutes_SetService stores a copy of *c and of its path. */
 void SpRoutes_SetService(SpRoutes *rs, const char *name,
                          const SpServiceConf *c);
 /* SpRoutes_Service returns NULL if the service is not configured. */
@@ -267,8 +263,8 @@
 } SpAcceptState;
 
 typedef struct SpUpstream {
-    char name[SP_FLOW_NAME]; /* of its node */
-    int same_zone;           /* 1: in the zone of this node */
+    const char *name; /* of its node; belongs to the owner of the struct */
+    int same_zone;    /* 1: in the zone of this node */
     SpAcceptState accepts;
     double limit;    /* its concurrency limit */
     int busy;        /* requests running and queued there, as last reported */
--- a/flow/ledger.c
+++ b/flow/ledger.c
@@ -38,7 +38,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_source);
     l->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_source);
-    g_strlcpy(l->zones[0], zone, sizeof l->zones[0]);
+    l->zones[0] = SpName_New(zone);
     l->nzones = 1;
     l->created = l->updated_at = now;
     return l;
@@ -47,11 +47,16 @@
 void
 SpLedger_Free(SpLedger *l)
 {
+    guint z;
+
     g_hash_table_destroy(l->members);
     g_hash_table_destroy(l->peers);
     g_hash_table_destroy(l->left);
     g_ptr_array_unref(l->limited);
     g_hash_table_destroy(l->accounts);
+    for (z = 0; z < l->nzones; z++) {
+        SpName_Free(l->zones[z]);
+    }
     g_free(l);
 }
 
@@ -125,7 +130,7 @@
     if (l->nzones == SP_LEDGER_ZONES) {
         return SP_LEDGER_ZONES - 1;
     }
-    g_strlcpy(l->zones[l->nzones], name, sizeof l->zones[0]);
+    l->zones[l->nzones] = SpName_New(name);
     return l->nzones++;
 }
 
--- a/flow/ledger_priv.h
+++ b/flow/ledger_priv.h
@@ -63,7 +63,7 @@
     GPtrArray *limited;   /* accounts of which all members are told */
     GHashTable *members;  /* name to Source */
     GHashTable *peers;    /* name to Source */
-    char zones[SP_LEDGER_ZONES][SP_FLOW_NAME]; /* the first is the own one */
+    const char *zones[SP_LEDGER_ZONES]; /* names; the first is the own one */
     guint nodes[SP_LEDGER_ZONES];
     int heard[SP_LEDGER_ZONES]; /* 1: another ledger there was heard */
     guint nzones;
--- a/flow/routes.c
+++ b/flow/routes.c
@@ -3,6 +3,22 @@
 
 #include "flow/flow.h"
 
+/* The routes of a host. */
+typedef struct SpHostRoutes {
+    GHashTable *prefixes; /* prefix to SpPathRoute */
+    GArray *lengths;      /* size_t: those that occur, the longest first */
+} SpHostRoutes;
+
+static void
+free_host(gpointer p)
+{
+    SpHostRoutes *h = p;
+
+    g_hash_table_destroy(h->prefixes);
+    g_array_unref(h->lengths);
+    g_free(h);
+}
+
 SpRoutes *
 SpRoutes_New(uint64_t version)
 {
@@ -12,8 +28,8 @@
     rs->refs = 1;
     rs->arena = SpArena_New();
     SpRankMap_Init(&rs->ranks);
-    rs->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                      (GDestroyNotify)g_hash_table_unref);
+    rs->hosts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_host);
     rs->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return rs;
@@ -40,29 +56,40 @@
     g_free(rs);
 }
 
-#define HOST_BYTES 256
-
-static void
-normalize_host(char *to, size_t n, const char *host)
+/* Returns the name in lower case and without a port; the caller frees it. */
+static char *
+normalize_host(const char *host)
 {
-    size_t i;
+    return g_ascii_strdown(host, (gssize)strcspn(host, ":"));
+}
 
-    for (i = 0; host[i] && host[i] != ':' && i + 1 < n; i++) {
-        to[i] = g_ascii_tolower(host[i]);
+static SpHostRoutes *
+routes_of_host(SpRoutes *rs, const char *host)
+{
+    char *name = normalize_host(host);
+    SpHostRoutes *h = g_hash_table_lookup(rs->hosts, name);
+
+    if (!h) {
+        h = g_new0(SpHostRoutes, 1);
+        h->prefixes = g_hash_table_new(g_str_hash, g_str_equal);
+        h->lengths = g_array_new(FALSE, FALSE, sizeof(size_t));
+        g_hash_table_insert(rs->hosts, SpArena_Str(rs->arena, name), h);
     }
-    to[i] = '\0';
+    g_free(name);
+    return h;
 }
 
-static GHashTable *
-prefixes_of(SpRoutes *rs, const char *host)
+static void
+add_length(GArray *lengths, size_t n)
 {
-    GHashTable *prefixes = g_hash_table_lookup(rs->hosts, host);
+    guint i = 0;
 
-    if (!prefixes) {
-        prefixes = g_hash_table_new(g_str_hash, g_str_equal);
-        g_hash_table_insert(rs->hosts, SpArena_Str(rs->arena, host), prefixes);
+    while (i < lengths->len && g_array_index(lengths, size_t, i) > n) {
+        i++;
+    }
+    if (i == lengths->len || g_array_index(lengths, size_t, i) != n) {
+        g_array_insert_val(lengths, i, n);
     }
-    return prefixes;
 }
 
 static SpSplitTarget *
@@ -83,20 +110,18 @@
 SpRoutes_Add(SpRoutes *rs, const SpPathRoute *r)
 {
     SpPathRoute *copy = SpArena_Alloc(rs->arena, sizeof *copy);
-    char host[HOST_BYTES];
-    GHashTable *prefixes;
+    SpHostRoutes *h = routes_of_host(rs, r->host);
 
     *copy = *r;
-    normalize_host(host, sizeof host, r->host);
-    prefixes = prefixes_of(rs, host);
     copy->name = SpArena_Str(rs->arena, r->name);
     copy->host = NULL; /* the key of its table */
     copy->prefix = SpArena_Str(rs->arena, r->prefix);
     copy->parts = copy_parts(rs->arena, r);
     rs->nroutes++;
     rs->route_ranks = SpRankSet_Add(rs->route_ranks, r->rank);
-    if (!g_hash_table_contains(prefixes, copy->prefix)) {
-        g_hash_table_insert(prefixes, (gpointer)copy->prefix, copy);
+    if (!g_hash_table_contains(h->prefixes, copy->prefix)) {
+        g_hash_table_insert(h->prefixes, (gpointer)copy->prefix, copy);
+        add_length(h->lengths, strlen(copy->prefix));
     }
 }
 
@@ -115,38 +140,36 @@
     SpRankMap_Build(&rs->ranks, set, rs->route_ranks);
 }
 
-/* Tries each part of the path that ends with a slash, the longest first, so
-   that the time depends on the path only. */
+/* Tries the lengths that prefixes have, the longest first: neither a long path
+   nor many routes take long. */
 static SpPathRoute *
-find_prefix(GHashTable *prefixes, const char *path)
+find_prefix(const SpHostRoutes *h, const char *path)
 {
-    char prefix[SP_PREFIX_BYTES + 1];
-    size_t n = MIN(strcspn(path, "?"), SP_PREFIX_BYTES);
-    SpPathRoute *r;
+    size_t n = strcspn(path, "?"), length;
+    char *prefix = g_strndup(path, n);
+    SpPathRoute *r = NULL;
+    guint i;
 
-    memcpy(prefix, path, n);
-    for (; n > 0; n--) {
-        if (prefix[n - 1] != '/') {
+    for (i = 0; i < h->lengths->len && !r; i++) {
+        length = g_array_index(h->lengths, size_t, i);
+        if (length > n || path[length - 1] != '/') {
             continue;
         }
-        prefix[n] = '\0';
-        r = g_hash_table_lookup(prefixes, prefix);
-        if (r) {
-            return r;
-        }
+        prefix[length] = '\0';
+        r = g_hash_table_lookup(h->prefixes, prefix);
     }
-    return NULL;
+    g_free(prefix);
+    return r;
 }
 
 SpPathRoute *
 SpRoutes_Find(const SpRoutes *rs, const char *host, const char *path)
 {
-    char name[HOST_BYTES];
-    GHashTable *prefixes;
+    char *name = normalize_host(host);
+    const SpHostRoutes *h = g_hash_table_lookup(rs->hosts, name);
 
-    normalize_host(name, sizeof name, host);
-    prefixes = g_hash_table_lookup(rs->hosts, name);
-    return prefixes ? find_prefix(prefixes, path) : NULL;
+    g_free(name);
+    return h ? find_prefix(h, path) : NULL;
 }
 
 guint
@@ -158,7 +181,10 @@
 void
 SpRoutes_SetService(SpRoutes *rs, const char *name, const SpServiceConf *c)
 {
-    g_hash_table_insert(rs->services, g_strdup(name), g_memdup2(c, sizeof *c));
+    SpServiceConf *copy = g_memdup2(c, sizeof *c);
+
+    copy->check = SpArena_Str(rs->arena, c->check);
+    g_hash_table_insert(rs->services, g_strdup(name), copy);
 }
 
 const SpServiceConf *
--- a/flow/workspaces.h
+++ b/flow/workspaces.h
@@ -11,8 +11,6 @@
 
 /* The rank of a request is that of its route. */
 #define SP_RANK_OF_ROUTE (-1)
-/* Maximum length of a key, in bytes. */
-#define SP_WORKSPACE_KEY_BYTES 255
 
 /* The strings belong to the table. */
 typedef struct SpWorkspace {
--- a/relay/adapter.h
+++ b/relay/adapter.h
@@ -11,17 +11,17 @@
 #include "flow/flow.h"
 #include "http/http.h"
 
-/* Size of an attempt id with its terminating zero byte. */
-#define SP_ATTEMPT_ID_BYTES 256
+/* Maximum length of the key of a record, in bytes. */
+#define SP_RECORD_KEY_BYTES 255
 
 /* Fields of a caller's request. The strings belong to the message. */
 typedef struct SpRequestInfo {
-    const char *id;   /* of this attempt; NULL if missing or invalid */
-    const char *host; /* with or without a port; NULL if missing */
-    const char *key;  /* of the caller's workspace; NULL if missing */
-    char parent[SP_ATTEMPT_ID_BYTES]; /* id of the attempt on behalf of which
-                                this call is made; empty if not given */
-    int64_t left_us; /* time until the caller's deadline; 0 if not given */
+    const char *id;    /* of this attempt; NULL if missing or invalid */
+    const char *host;  /* with or without a port; NULL if missing */
+    const char *key;   /* of the caller's workspace; NULL if missing */
+    size_t parent_len; /* bytes of id that name the attempt on behalf of which
+                          this call is made; 0: none */
+    int64_t left_us;   /* time until the caller's deadline; 0 if not given */
 } SpRequestInfo;
 
 /* What a request to an instance says of its origin. */
@@ -44,9 +44,9 @@
 
 /* A report of an instance about itself. */
 typedef struct SpReport {
-    char id[SP_FLOW_NAME];
-    char addr[32];
-    char service[SP_FLOW_NAME];
+    const char *id; /* this one and the next two belong to an arena */
+    const char *addr;
+    const char *service;
     SpInstPhase phase;
     int has_start;     /* 1: start_ms is given */
     int partial;       /* 1: only id and phase (and start_ms) are given */
@@ -86,14 +86,15 @@
     /* Header lines of the refusal of a request whose key is unknown. */
     const char *key_challenge;
     void (*read_reply)(const SpMsg *m, const char *id, SpReplyInfo *r);
-    /* Reports: returns 0 if the message identifies no usable instance. */
-    int (*read_report)(const SpMsg *m, SpReport *r);
+    /* Reports: returns 0 if the message identifies no usable instance. The
+       texts of r are copied to a. */
+    int (*read_report)(const SpMsg *m, SpArena *a, SpReport *r);
     int (*is_ready_check)(const SpMsg *m);
-    /* Status check of an instance: writes a complete request; returns 1 if
-       its answer says that the instance accepts requests. id has SP_FLOW_NAME
-       bytes. */
+    /* Status check of an instance: writes a complete request; returns the id
+       of the instance, part of m, if its answer says that it accepts requests,
+       else NULL. */
     void (*write_check)(GString *s, const char *host, const char *path);
-    int (*read_check)(const SpMsg *m, char *id);
+    const char *(*read_check)(const SpMsg *m);
     /* Configuration: returns NULL and sets err if it is invalid. */
     SpRoutes *(*read_config)(const char *p, size_t n, GError **err);
     const char *config_key; /* key of its record */
--- a/relay/attempt.c
+++ b/relay/attempt.c
@@ -50,7 +50,7 @@
     Relay *n = c->n;
     JobOpts o = {.id = c->id,
                  .route = c->route->name,
-                 .workspace = c->workspace_name,
+                 .workspace = c->workspace_name ? c->workspace_name : "",
                  .share = c->share,
                  .rank = c->rank,
                  .nested = c->nested,
@@ -167,7 +167,7 @@
     SpRetryRoom room = SpRetryBudget_Room(&s->retries, now, rank);
     double calls_left =
         c->calls_left + SpPaths_Calls(c->n->paths, c->route->name);
-    int of_workspace = c->workspace_name[0] && s->retry_parts;
+    int of_workspace = c->workspace_name && s->retry_parts;
 
     if (of_workspace &&
         !SpRetryParts_Allows(s->retry_parts, now, c->workspace_name, &room)) {
@@ -251,12 +251,13 @@
         return;
     }
     again = !r->reached || may_retry(c);
-    SpLog(SP_LOG_INFO, "send-ended",
-          "id=%s at=%s kind=%s outcome=%s reached=%d status=%d again=%d "
-          "calls_left=%.1f accepted=%.2f",
-          c->id, u->name, SpKind_Info(r->kind)->name,
-          SpOutcome_Name(r->outcome), r->reached, r->status, again,
-          c->calls_left, service_of(c->n, c->service)->retries.accepted);
+    SpLog(
+        SP_LOG_INFO, "send-ended",
+        "id=%.128s at=%.128s kind=%s outcome=%s reached=%d status=%d again=%d "
+        "calls_left=%.1f accepted=%.2f",
+        c->id, u->name, SpKind_Info(r->kind)->name, SpOutcome_Name(r->outcome),
+        r->reached, r->status, again, c->calls_left,
+        service_of(c->n, c->service)->retries.accepted);
     if (again) {
         c->n->counters.retries += r->reached ? 1 : 0;
         try_instances(c);
--- a/relay/call.h
+++ b/relay/call.h
@@ -20,15 +20,14 @@
     const char *service;
     int64_t arrived, deadline;
     int rank;
-    const SpWorkspace *workspace;      /* of the caller's key; NULL: none */
-    char workspace_name[SP_FLOW_NAME]; /* the same, or that of the request on
-                                          behalf of which a call is made; or
-                                          empty */
+    const SpWorkspace *workspace; /* of the caller's key; NULL: none */
+    const char *workspace_name;   /* the same, or that of the request on behalf
+                                     of which a call is made; owned, or NULL */
     int in_quota; /* 1: it counts for the quota of its workspace */
     double share; /* at which the original request was admitted */
     int nested;   /* 1: made on behalf of a running request */
     int is_retry; /* 1: that request is a retry, or caused by one */
-    char parent[SP_ATTEMPT_ID_BYTES]; /* id of that request */
+    char *parent; /* id of that request, owned; NULL: none is named */
     GString *head;
     SpUpstream *tried[SP_MAX_TRIES];
     int ntried;
--- a/relay/capacity.c
+++ b/relay/capacity.c
@@ -114,8 +114,9 @@
                 j->req.deadline - now > needed;
 
     SpLog(SP_LOG_INFO, "run-overdue",
-          "id=%s route=%s instance=%s again=%d conn=%" PRIu64 " ms=%" PRId64,
-          j->id, j->route, n->inst.last.id, again, j->conn,
+          "id=%.128s route=%.128s instance=%.128s again=%d conn=%" PRIu64
+          " ms=%" PRId64,
+          j->id, j->route, n->inst.id, again, j->conn,
           (now - j->started) / SP_MS);
     n->counters.jobs_overdue++;
     SpLimiter_End(&n->limiter, now, &j->req, -1);
@@ -148,9 +149,10 @@
         return;
     }
     SpLog(SP_LOG_INFO, "capacity",
-          "instance=%s limit=%.0f was=%.0f announced=%d running=%d queued=%d "
+          "instance=%.128s limit=%.0f was=%.0f announced=%d running=%d "
+          "queued=%d "
           "floor_ms=%.1f",
-          n->inst.last.id, limit, n->capacity_logged, n->inst.last.slots,
+          n->inst.id, limit, n->capacity_logged, n->inst.slots,
           n->limiter.running, n->limiter.queued,
           SpCapacity_Floor(&n->capacity) / SP_MS);
     n->capacity_logged = limit;
--- a/relay/check.c
+++ b/relay/check.c
@@ -12,11 +12,12 @@
 on_check(void *data, SpPoolStatus end, const SpMsg *m, const char *why)
 {
     Relay *n = data;
-    char id[SP_FLOW_NAME];
+    const char *id;
 
     n->check = NULL;
     n->check_at = SpHttp_Now() + INTERVAL_US;
-    if (end == SP_POOL_OK && n->adapter->read_check(m, id)) {
+    id = end == SP_POOL_OK ? n->adapter->read_check(m) : NULL;
+    if (id) {
         assume_instance(n, id);
         return;
     }
@@ -59,7 +60,7 @@
         return;
     }
     c = SpRoutes_Service(n->routes, n->settings.service);
-    if (c && c->check[0]) {
+    if (c && c->check && c->check[0]) {
         send_check(n, c->check);
     }
 }
--- a/relay/contacts.c
+++ b/relay/contacts.c
@@ -80,7 +80,8 @@
     while ((m = SpDirectory_Next(n->directory, &it)) != NULL) {
         guint count = GPOINTER_TO_UINT(g_hash_table_lookup(zones, m->zone));
         if (!m->gone) {
-            g_hash_table_insert(zones, m->zone, GUINT_TO_POINTER(count + 1));
+            g_hash_table_insert(zones, (gpointer)m->zone,
+                                GUINT_TO_POINTER(count + 1));
         }
     }
     return zones;
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -14,8 +14,7 @@
 Job *
 parent_of(const Call *c)
 {
-    return c->parent[0] ? g_hash_table_lookup(c->n->jobs_by_id, c->parent)
-                        : NULL;
+    return c->parent ? g_hash_table_lookup(c->n->jobs_by_id, c->parent) : NULL;
 }
 
 /* Marks the parent request: retrying it on another instance would not help if
@@ -43,6 +42,8 @@
     if (c->head) {
         g_string_free(c->head, TRUE);
     }
+    SpName_Free(c->workspace_name);
+    g_free(c->parent);
     g_free(c);
 }
 
@@ -50,10 +51,10 @@
 static const char *
 workspace_field(const Call *c, char *buf, size_t size)
 {
-    char name[SP_FLOW_NAME * 4];
+    char name[SP_LOGGED_NAME];
 
     buf[0] = '\0';
-    if (c->workspace_name[0]) {
+    if (c->workspace_name) {
         g_snprintf(buf, size, " workspace=%s",
                    SpLog_Quote(name, sizeof name, c->workspace_name));
     }
@@ -63,11 +64,11 @@
 static void
 answer_error(Call *c, SpKind k, int status, const char *lines)
 {
-    char body[96], field[SP_FLOW_NAME * 5];
+    char body[96], field[SP_LOGGED_NAME + 16];
     int64_t now = SpHttp_Now();
 
     SpLog(SP_LOG_INFO, "call-refused",
-          "id=%s route=%s service=%s kind=%s status=%d ms=%" PRId64
+          "id=%.128s route=%.128s service=%.128s kind=%s status=%d ms=%" PRId64
           " left_ms=%" PRId64
           " tried=%d reached=%d rank=%d share=%.2f config=%" PRIu64 "%s",
           c->id ? c->id : "-", c->route ? c->route->name : "-",
@@ -160,8 +161,9 @@
     if (r->status >= 500) {
         mark_parent(c);
         SpLog(SP_LOG_INFO, "call-failed",
-              "id=%s route=%s service=%s at=%s status=%d ms=%" PRId64, c->id,
-              c->route->name, c->service, c->tried[c->ntried - 1]->name,
+              "id=%.128s route=%.128s service=%.128s at=%.128s status=%d "
+              "ms=%" PRId64,
+              c->id, c->route->name, c->service, c->tried[c->ntried - 1]->name,
               r->status, (SpHttp_Now() - c->arrived) / SP_MS);
     }
     SpHttpReq_Respond(c->req, r->status, lines, r->body, r->body_len);
@@ -209,8 +211,7 @@
         return 0;
     }
     if (c->workspace) {
-        g_strlcpy(c->workspace_name, c->workspace->name,
-                  sizeof c->workspace_name);
+        c->workspace_name = SpName_New(c->workspace->name);
     }
     c->rank = SpRankMap_Rank(&c->routes->ranks, c->workspace, c->route->rank);
     return 1;
@@ -236,7 +237,9 @@
 {
     Job *j;
 
-    g_strlcpy(c->parent, a->parent, sizeof c->parent);
+    if (a->parent_len) {
+        c->parent = g_strndup(a->id, a->parent_len);
+    }
     j = parent_of(c);
     c->rank = SpRankMap_Rank(&c->routes->ranks, NULL, c->route->rank);
     if (!j) {
@@ -249,7 +252,9 @@
     c->rank = j->req.rank;
     c->deadline = MIN(c->deadline, j->req.deadline);
     c->share = j->share;
-    g_strlcpy(c->workspace_name, j->workspace, sizeof c->workspace_name);
+    if (j->workspace[0]) {
+        c->workspace_name = SpName_New(j->workspace);
+    }
     c->calls_left = calls_left_after(c, j);
     SpPaths_RecordCall(c->n->paths, c->arrived, j->route, c->route->name);
 }
@@ -303,7 +308,7 @@
     if (c->is_retry) {
         SpRetryBudget_CountRetry(&s->retries, c->arrived);
     }
-    if (!c->workspace_name[0]) {
+    if (!c->workspace_name) {
         return;
     }
     if (!s->retry_parts) {
@@ -380,7 +385,7 @@
     Call *c = SpHttpReq_Data(req);
 
     n->counters.disconnected++;
-    SpLog(SP_LOG_INFO, "caller-left", "id=%s ms=%" PRId64, c->id,
+    SpLog(SP_LOG_INFO, "caller-left", "id=%.128s ms=%" PRId64, c->id,
           (SpHttp_Now() - c->arrived) / SP_MS);
     cancel_attempt(c);
     free_call(c);
--- a/relay/frame.c
+++ b/relay/frame.c
@@ -159,8 +159,20 @@
     return o->via.bin.ptr;
 }
 
+const char *
+get_text(FrameIn *f)
+{
+    size_t n;
+    const char *p = get_bin(f, &n);
+
+    if (!f->arena) {
+        f->arena = SpArena_New();
+    }
+    return SpArena_Dup(f->arena, p, n);
+}
+
 void
-get_str(FrameIn *f, char *to, size_t size)
+get_addr(FrameIn *f, char *to, size_t size)
 {
     size_t n;
     const char *p = get_bin(f, &n);
@@ -204,9 +216,10 @@
         u.data.via.array.size > 0 &&
         u.data.via.array.ptr[0].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
         u.data.via.array.ptr[0].via.u64 < FRAME_NTYPES) {
-        FrameIn f = {u.data.via.array.ptr + 1, u.data.via.array.size - 1, 0,
-                     0};
+        FrameIn f = {u.data.via.array.ptr + 1, u.data.via.array.size - 1, 0, 0,
+                     NULL};
         ok = handle(ctx, (FrameType)u.data.via.array.ptr[0].via.u64, &f);
+        SpArena_Free(f.arena);
     }
     msgpack_unpacked_destroy(&u);
     return ok;
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -78,12 +78,16 @@
     const msgpack_object *args;
     uint32_t n, at;
     int bad;
+    SpArena *arena; /* of the texts that were read; NULL before the first */
 } FrameIn;
 
 uint64_t get_uint(FrameIn *f);
 int64_t get_int(FrameIn *f);
 double get_real(FrameIn *f);
-void get_str(FrameIn *f, char *to, size_t size);
+/* get_text returns a text of any length, which lives as long as the frame. */
+const char *get_text(FrameIn *f);
+/* get_addr reads an address; a longer text sets bad. */
+void get_addr(FrameIn *f, char *to, size_t size);
 const char *get_bin(FrameIn *f, size_t *n);
 /* get_array returns the elements and stores their number in n. */
 const msgpack_object *get_array(FrameIn *f, uint32_t *n);
--- a/relay/gossip.c
+++ b/relay/gossip.c
@@ -103,8 +103,8 @@
     n->incarnation = m->started_us + 1;
     self.started_us = n->incarnation;
     g_strlcpy(self.addr, n->settings.link, sizeof self.addr);
-    g_strlcpy(self.zone, n->settings.zone, sizeof self.zone);
-    g_strlcpy(self.service, n->settings.service, sizeof self.service);
+    self.zone = n->settings.zone;
+    self.service = n->settings.service;
     if (SpDirectory_Put(n->directory, &self, SpHttp_Now())) {
         g_ptr_array_add(n->links->rumors, g_strdup(self.name));
     }
@@ -135,9 +135,9 @@
 }
 
 static int
-read_member(const msgpack_object *o, SpNodeInfo *m)
+read_member(FrameIn *list, const msgpack_object *o, SpNodeInfo *m)
 {
-    FrameIn f = {0};
+    FrameIn f = {.arena = list->arena};
 
     memset(m, 0, sizeof *m);
     if (o->type != MSGPACK_OBJECT_ARRAY) {
@@ -145,11 +145,12 @@
     }
     f.args = o->via.array.ptr;
     f.n = o->via.array.size;
-    get_str(&f, m->name, sizeof m->name);
-    get_str(&f, m->addr, sizeof m->addr);
-    get_str(&f, m->zone, sizeof m->zone);
-    get_str(&f, m->service, sizeof m->service);
+    m->name = get_text(&f);
+    get_addr(&f, m->addr, sizeof m->addr);
+    m->zone = get_text(&f);
+    m->service = get_text(&f);
     m->started_us = get_uint(&f);
+    list->arena = f.arena;
     return !f.bad && m->name[0] && m->service[0];
 }
 
@@ -163,7 +164,7 @@
     SpNodeInfo m;
 
     for (i = 0; i < count; i++) {
-        if (!read_member(&list[i], &m)) {
+        if (!read_member(f, &list[i], &m)) {
             return 0;
         }
         add_member(conn->n, &m, 0);
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -92,6 +92,9 @@
         g_string_free(j->head, TRUE);
     }
     g_free(j->body_copy);
+    g_free(j->id);
+    SpName_Free(j->route);
+    SpName_Free(j->workspace);
     SpBodyMemory_Release(&j->n->job_memory, j->held);
     SpHeld_Release(&j->n->held, SP_HELD_COPIES, j->sent);
     g_free(j);
@@ -113,7 +116,7 @@
 
     j->n->counters.jobs_refused++;
     SpLog(SP_LOG_INFO, "run-refused",
-          "id=%s route=%s kind=%s rank=%d begun=%d wait_ms=%" PRId64
+          "id=%.128s route=%.128s kind=%s rank=%d begun=%d wait_ms=%" PRId64
           " running=%d queued=%d limit=%.0f left_ms=%" PRId64,
           j->id, j->route, SpKind_Info(k)->name, j->req.rank, j->req.nested,
           SpLimiter_EstimateWait(&j->n->limiter, SpHttp_Now(), &j->req) /
@@ -164,8 +167,8 @@
     j->is_retry = o->is_retry;
     j->share = o->share;
     j->calls_left = o->calls_left;
-    g_strlcpy(j->route, o->route, sizeof j->route);
-    g_strlcpy(j->workspace, o->workspace, sizeof j->workspace);
+    j->route = SpName_New(o->route);
+    j->workspace = SpName_New(o->workspace);
     j->head = o->head;
     j->done = o->done;
     j->owner = o->owner;
@@ -178,7 +181,7 @@
     j->req.repeatable = o->idempotent;
     j->req.deadline = MIN(now + o->left_us, answer_by(n));
     j->node.data = j;
-    g_strlcpy(j->id, o->id, sizeof j->id);
+    j->id = g_strdup(o->id);
     g_queue_push_tail_link(&n->jobs, &j->node);
     /* replaces the key too, which belongs to the job: the one of an earlier
        job with this id is freed with that */
@@ -217,20 +220,22 @@
     if (j->x && !j->idempotent) {
         /* not abortable: its outcome would be unknown */
         SpLog(SP_LOG_INFO, "run-detached",
-              "id=%s route=%s instance=%s conn=%" PRIu64 " ms=%" PRId64, j->id,
-              j->route, n->inst.last.id, j->conn,
+              "id=%.128s route=%.128s instance=%.128s conn=%" PRIu64
+              " ms=%" PRId64,
+              j->id, j->route, n->inst.id, j->conn,
               (SpHttp_Now() - j->started) / SP_MS);
         return;
     }
     if (j->x) {
         SpExchange_Abort(j->x);
         SpLog(SP_LOG_INFO, "run-dropped",
-              "id=%s route=%s instance=%s ms=%" PRId64, j->id, j->route,
-              n->inst.last.id, (SpHttp_Now() - j->started) / SP_MS);
+              "id=%.128s route=%.128s instance=%.128s ms=%" PRId64, j->id,
+              j->route, n->inst.id, (SpHttp_Now() - j->started) / SP_MS);
     }
     else {
         SpLog(SP_LOG_INFO, "run-unqueued",
-              "id=%s route=%s rank=%d ms=%" PRId64 " running=%d queued=%d",
+              "id=%.128s route=%.128s rank=%d ms=%" PRId64
+              " running=%d queued=%d",
               j->id, j->route, j->req.rank,
               (SpHttp_Now() - j->req.arrived) / SP_MS, n->limiter.running,
               n->limiter.queued);
@@ -250,8 +255,8 @@
 
     SpExchange_Abort(j->x);
     j->x = NULL;
-    SpLog(SP_LOG_WARN, "run-cut", "id=%s instance=%s ms=%" PRId64, j->id,
-          n->inst.last.id, (now - j->started) / SP_MS);
+    SpLog(SP_LOG_WARN, "run-cut", "id=%.128s instance=%.128s ms=%" PRId64,
+          j->id, n->inst.id, (now - j->started) / SP_MS);
     end_capacity_run(j, SP_RUN_LOST);
     SpLimiter_End(&n->limiter, now, &j->req, now - j->started);
     end_job(j, &r);
--- a/relay/link.c
+++ b/relay/link.c
@@ -21,6 +21,7 @@
     g_byte_array_unref(conn->in);
     g_byte_array_unref(conn->out);
     g_hash_table_destroy(conn->jobs);
+    SpName_Free(conn->name);
     g_free(conn);
 }
 
@@ -100,7 +101,7 @@
 void
 close_unused(LinkConn *conn)
 {
-    SpLog(SP_LOG_DEBUG, "link-closed", "peer=%s addr=%s", conn->peer->name,
+    SpLog(SP_LOG_DEBUG, "link-closed", "peer=%.128s addr=%s", conn->peer->name,
           conn->peer->addr);
     end_conn(conn);
 }
@@ -136,8 +137,8 @@
     else {
         p->n->links->lost++;
         SpLog(SP_LOG_WARN, "link-lost",
-              "peer=%s addr=%s why=%s calls=%u silent_ms=%" PRId64, p->name,
-              p->addr, why, g_hash_table_size(p->calls),
+              "peer=%.128s addr=%s why=%s calls=%u silent_ms=%" PRId64,
+              p->name, p->addr, why, g_hash_table_size(p->calls),
               (SpHttp_Now() - conn->received_at) / SP_MS);
     }
     p->reconnect_at = SpHttp_Now() + p->backoff_us +
@@ -234,6 +235,7 @@
 
     conn->n = n;
     conn->peer = p;
+    conn->name = SpName_New("");
     conn->in = g_byte_array_new();
     conn->out = g_byte_array_new();
     conn->jobs =
--- a/relay/link.h
+++ b/relay/link.h
@@ -46,24 +46,24 @@
     GHashTable *jobs; /* on the serving side: seq to Job */
     int connected, closing;
     int64_t received_at, state_sent_at;
-    int64_t used_at;         /* when the last call began on it */
-    int64_t active_since;    /* start of the present series of calls */
-    uint64_t sent_state;     /* number of the last state sent on it */
-    char name[SP_FLOW_NAME]; /* of the other side, from its hello */
-    int same_zone;           /* 1: the other side is in this zone */
-    int64_t up_at;           /* when the other side said hello */
-    int64_t usage_at;        /* when it last reported to the ledger here */
-    int64_t sums_at;         /* when all sums were last sent on it */
-    uint64_t version;        /* of the other side's configuration */
-    int64_t version_at;      /* when it was first reported */
+    int64_t used_at;      /* when the last call began on it */
+    int64_t active_since; /* start of the present series of calls */
+    uint64_t sent_state;  /* number of the last state sent on it */
+    const char *name;     /* of the other side, from its hello; empty before */
+    int same_zone;        /* 1: the other side is in this zone */
+    int64_t up_at;        /* when the other side said hello */
+    int64_t usage_at;     /* when it last reported to the ledger here */
+    int64_t sums_at;      /* when all sums were last sent on it */
+    uint64_t version;     /* of the other side's configuration */
+    int64_t version_at;   /* when it was first reported */
 } LinkConn;
 
 struct Peer {
     Relay *n;
     char addr[SP_ADDR_BYTES];
-    char name[SP_FLOW_NAME];
-    char zone[SP_FLOW_NAME];
-    char service[SP_FLOW_NAME]; /* empty: not known yet */
+    const char *name; /* owned, like the next two; empty: not known yet */
+    const char *zone;
+    const char *service;
     uint64_t incarnation;
     int wanted;      /* 1: it is in the subset to be linked */
     int was_wanted;  /* the same before the subset was last chosen */
@@ -132,6 +132,7 @@
 int has_room_to_send(LinkConn *conn, size_t n);
 
 /* peers.c */
+void set_peer_name(Peer *p, const char *name);
 void set_peer_service(Peer *p, const char *service);
 /* find_peer returns NULL if no link to addr was ever wanted. */
 Peer *find_peer(const Relay *n, const char *addr);
--- a/relay/metrics.c
+++ b/relay/metrics.c
@@ -16,13 +16,14 @@
 } Histogram;
 
 typedef struct RouteMetrics {
-    char name[SP_FLOW_NAME];
+    const char *name; /* owned, but for that of the others */
     uint64_t ended[SP_NKINDS];
     Histogram time;
 } RouteMetrics;
 
 struct Metrics {
     GHashTable *routes; /* name to RouteMetrics */
+    size_t name_bytes;  /* of the names of routes */
     RouteMetrics other;
     Histogram times[METRIC_NTIMES];
 };
@@ -36,7 +37,7 @@
     Metrics *m = g_new0(Metrics, 1);
 
     m->routes = g_hash_table_new(g_str_hash, g_str_equal);
-    g_strlcpy(m->other.name, "other", sizeof m->other.name);
+    m->other.name = "other";
     return m;
 }
 
@@ -61,12 +62,14 @@
     if (r) {
         return r;
     }
-    if (!route || g_hash_table_size(m->routes) >= METRIC_ROUTES) {
+    if (!route || g_hash_table_size(m->routes) >= METRIC_ROUTES ||
+        m->name_bytes + strlen(route) > METRIC_NAME_BYTES) {
         return &m->other;
     }
     r = g_new0(RouteMetrics, 1);
-    g_strlcpy(r->name, route, sizeof r->name);
-    g_hash_table_insert(m->routes, r->name, r);
+    r->name = g_strdup(route);
+    m->name_bytes += strlen(route);
+    g_hash_table_insert(m->routes, (gpointer)r->name, r);
     return r;
 }
 
@@ -113,7 +116,7 @@
 static void
 print_route(GString *s, const RouteMetrics *r)
 {
-    char labels[SP_FLOW_NAME + 16];
+    char *labels;
     int k;
 
     for (k = 0; k < SP_NKINDS; k++) {
@@ -124,8 +127,9 @@
         }
     }
     if (r->time.count) {
-        g_snprintf(labels, sizeof labels, "route=\"%s\",", r->name);
+        labels = g_strdup_printf("route=\"%s\",", r->name);
         print_histogram(s, "route", labels, &r->time);
+        g_free(labels);
     }
 }
 
--- a/relay/metrics.h
+++ b/relay/metrics.h
@@ -12,6 +12,8 @@
 #include "flow/flow.h"
 
 #define METRIC_ROUTES 64
+/* Bytes of their names in all. */
+#define METRIC_NAME_BYTES 65536
 
 typedef struct Metrics Metrics;
 
--- a/relay/monitor.c
+++ b/relay/monitor.c
@@ -43,7 +43,7 @@
     put(s, "instance_queued", n->limiter.queued);
     put(s, "instance_limit", n->limiter.limit);
     put(s, "instance_takes", l.accepts);
-    if (n->learns && n->inst.last.slots > 0) {
+    if (n->learns && n->inst.slots > 0) {
         put(s, "instance_capacity", SpCapacity_Limit(&n->capacity));
         put(s, "instance_run_floor_seconds",
             SpCapacity_Floor(&n->capacity) / SP_SEC);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -41,12 +41,19 @@
     }
 }
 
+void
+set_peer_name(Peer *p, const char *name)
+{
+    SpName_Set(&p->name, name);
+    p->upstream.name = p->name;
+}
+
 void
 set_peer_service(Peer *p, const char *service)
 {
     if (strcmp(p->service, service) != 0) {
         set_listed(p, 0);
-        g_strlcpy(p->service, service, sizeof p->service);
+        SpName_Set(&p->service, service);
     }
     set_listed(p, p->wanted);
 }
@@ -84,6 +91,9 @@
     Peer *p = g_new0(Peer, 1);
 
     p->n = n;
+    p->zone = SpName_New("");
+    p->service = SpName_New("");
+    set_peer_name(p, "");
     g_strlcpy(p->addr, addr, sizeof p->addr);
     p->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
@@ -104,7 +114,7 @@
         p = new_peer(n, m->addr, now);
     }
     if (!p->conn) {
-        g_strlcpy(p->name, m->name, sizeof p->name);
+        set_peer_name(p, m->name);
     }
     if (!p->conn && !was_wanted) {
         p->seen_at = now;
@@ -161,7 +171,7 @@
         list = g_hash_table_lookup(groups, m->service);
         if (!list) {
             list = g_ptr_array_new();
-            g_hash_table_insert(groups, m->service, list);
+            g_hash_table_insert(groups, (gpointer)m->service, list);
         }
         g_ptr_array_add(list, m);
     }
@@ -273,7 +283,7 @@
     p = find_peer(n, m->addr);
     if (!p) {
         p = new_peer(n, m->addr, now);
-        g_strlcpy(p->name, m->name, sizeof p->name);
+        set_peer_name(p, m->name);
     }
     if (!p->conn) {
         connect_peer(p);
@@ -289,7 +299,8 @@
     if (m && strcmp(m->addr, p->addr) == 0 && !m->gone) {
         m->gone = 1;
         p->n->links->refresh = 1;
-        SpLog(SP_LOG_INFO, "peer-gone", "peer=%s addr=%s", p->name, p->addr);
+        SpLog(SP_LOG_INFO, "peer-gone", "peer=%.128s addr=%s", p->name,
+              p->addr);
     }
 }
 
--- a/relay/quota.c
+++ b/relay/quota.c
@@ -19,8 +19,10 @@
 {
     n->quotas = g_new0(Quotas, 1);
     n->quotas->quota = SpQuota_New(SpRand(&n->rand));
-    n->quotas->limits =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    n->quotas->coordinator = SpName_New("");
+    n->quotas->avoid = SpName_New("");
+    n->quotas->limits = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                              NULL, free_logged_limit);
 }
 
 void
@@ -117,7 +119,7 @@
 {
     if (q->coordinator[0] && SpQuota_IsAlone(q->quota, now) &&
         now - q->coordinator_at > SP_QUOTA_ALONE_US) {
-        g_strlcpy(q->avoid, q->coordinator, sizeof q->avoid);
+        SpName_Set(&q->avoid, q->coordinator);
         q->avoid_until = now + AVOID_US;
     }
 }
@@ -187,10 +189,10 @@
     if (strcmp(name, q->coordinator) == 0) {
         return;
     }
-    SpLog(SP_LOG_INFO, "quota-coordinator", "node=%s was=%s",
+    SpLog(SP_LOG_INFO, "quota-coordinator", "node=%.128s was=%.128s",
           name[0] ? name : "-", q->coordinator[0] ? q->coordinator : "-");
     leave_coordinator(n, now);
-    g_strlcpy(q->coordinator, name, sizeof q->coordinator);
+    SpName_Set(&q->coordinator, name);
     q->coordinator_at = now;
 }
 
@@ -246,7 +248,7 @@
     uint64_t number = get_uint(f);
     uint32_t i, count;
     const msgpack_object *list = get_array(f, &count);
-    FrameIn in = {list, count, 0, 0};
+    FrameIn in = {.args = list, .n = count};
     GArray *words = g_array_new(FALSE, FALSE, sizeof(SpQuotaWord));
 
     for (i = 0; i < count / WORD_FIELDS; i++) {
--- a/relay/quotas.h
+++ b/relay/quotas.h
@@ -17,10 +17,10 @@
                            or others report to it; kept from then on */
     int is_used;        /* 1: the ledger has members */
     GHashTable *limits; /* key to LoggedLimit */
-    char coordinator[SP_FLOW_NAME]; /* empty: none */
-    int64_t coordinator_at;         /* since when */
-    int64_t word_at;                /* when another node last said a word */
-    char avoid[SP_FLOW_NAME];       /* a node that did not answer */
+    const char *coordinator; /* name, owned; empty: none */
+    int64_t coordinator_at;  /* since when */
+    int64_t word_at;         /* when another node last said a word */
+    const char *avoid;       /* a node that did not answer, the same */
     int64_t avoid_until;
     int64_t step_at;  /* time of the last step */
     int64_t sums_at;  /* when sums near the limits were last sent */
@@ -34,6 +34,7 @@
 /* sums.c */
 /* step_ledger begins a ledger when it is needed, and exchanges sums. */
 void step_ledger(Relay *n, int64_t now);
+void free_logged_limit(void *l);
 /* use_ledger returns the ledger, which is begun if there is none. */
 SpLedger *use_ledger(Relay *n, int64_t now);
 
--- a/relay/register.c
+++ b/relay/register.c
@@ -14,43 +14,63 @@
 #define LIST_SPREAD_US (500 * SP_MS)
 /* Interval at which a node without links lists the others again. */
 #define RELIST_US (3 * SP_SEC)
+/* Part of a long name that its key begins with. */
+#define NAME_KEY_BYTES (SP_RECORD_KEY_BYTES - 17)
 
 /* The record of this node; the caller frees it. */
 static char *
 write_node_record(const Relay *n)
 {
     const SpRelaySettings *st = &n->settings;
-    json_t *o = json_pack("{s:s,s:s,s:s}", "addr", st->link, "zone", st->zone,
-                          "service", st->service);
+    json_t *o = json_pack("{s:s,s:s,s:s,s:s}", "name", st->name, "addr",
+                          st->link, "zone", st->zone, "service", st->service);
     char *text = json_dumps(o, JSON_COMPACT);
 
     json_decref(o);
     return text;
 }
 
-static int
-copy_text(char *to, size_t size, const json_t *o, const char *key)
+/* The key of the record of this node: its name, or for a longer one than keys
+   may be its beginning and its hash. The caller frees it. */
+static char *
+node_key(const Relay *n)
+{
+    const char *name = n->settings.name;
+    size_t len = strlen(name);
+
+    if (len <= SP_RECORD_KEY_BYTES) {
+        return g_strdup(name);
+    }
+    return g_strdup_printf("%.*s-%016" PRIx64, NAME_KEY_BYTES, name,
+                           SpHash(name, len, 0));
+}
+
+/* Returns a copy in a, or NULL if the record has no such text. */
+static const char *
+read_text(SpArena *a, const json_t *o, const char *key)
 {
     const char *text = json_string_value(json_object_get(o, key));
 
-    return text && *text && g_strlcpy(to, text, size) < size;
+    return text && *text ? SpArena_Str(a, text) : NULL;
 }
 
-/* Returns 0 if the record describes no node. */
+/* Returns 0 if the record describes no node. The names belong to a. */
 static int
-read_node_record(const SpRecord *r, SpNodeInfo *m)
+read_node_record(SpArena *a, const SpRecord *r, SpNodeInfo *m)
 {
     json_t *o = r->value ? json_loadb(r->value, r->value_len, 0, NULL) : NULL;
-    int ok;
+    const char *addr = read_text(a, o, "addr");
 
     memset(m, 0, sizeof *m);
-    ok = r->key && *r->key &&
-         g_strlcpy(m->name, r->key, sizeof m->name) < sizeof m->name &&
-         copy_text(m->addr, sizeof m->addr, o, "addr") &&
-         copy_text(m->zone, sizeof m->zone, o, "zone") &&
-         copy_text(m->service, sizeof m->service, o, "service");
+    m->name = read_text(a, o, "name");
+    if (!m->name) {
+        m->name = r->key && *r->key ? r->key : NULL; /* of an older version */
+    }
+    m->zone = read_text(a, o, "zone");
+    m->service = read_text(a, o, "service");
     json_decref(o);
-    return ok;
+    return m->name && m->zone && m->service && addr &&
+           g_strlcpy(m->addr, addr, sizeof m->addr) < sizeof m->addr;
 }
 
 void
@@ -59,7 +79,7 @@
     Relay *n = t->s->n;
     const SpAdapter *ad = n->adapter;
     GString *s;
-    char *record;
+    char *record, *key;
 
     if (t->step == STEP_IDLE || t->s->may_skip_list) {
         t->s->may_skip_list = 0;
@@ -72,8 +92,9 @@
     s = g_string_sized_new(512);
     if (t->step == STEP_REGISTER) {
         record = write_node_record(n);
-        ad->write_append(s, n->settings.store, SP_STREAM_NODES,
-                         n->settings.name, record);
+        key = node_key(n);
+        ad->write_append(s, n->settings.store, SP_STREAM_NODES, key, record);
+        g_free(key);
         free(record);
         send_store_call(t, CALL_REGISTER, s, SP_CALL_TIMEOUT_US);
     }
@@ -101,7 +122,8 @@
     guint i;
 
     for (i = 0; i < rs->list->len; i++) {
-        if (!read_node_record(&g_array_index(rs->list, SpRecord, i), &m)) {
+        if (!read_node_record(rs->arena, &g_array_index(rs->list, SpRecord, i),
+                              &m)) {
             continue; /* of another version of the program */
         }
         s->registered |= is_own_record(s->n, &m);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -43,12 +43,16 @@
 #include "relay/adapter.h"
 #include "relay/metrics.h"
 
+/* Size of the buffer for a quoted name in a log line, which shows its
+   beginning. */
+#define SP_LOGGED_NAME 256
+
 #define SP_RELAY_TICK_US (20 * SP_MS)
 
 typedef struct SpRelaySettings {
-    char name[SP_FLOW_NAME];
-    char zone[SP_FLOW_NAME];
-    char service[SP_FLOW_NAME];
+    char *name; /* owned, like the next two */
+    char *zone;
+    char *service;
     char interface[16];
     char instance[SP_ADDR_BYTES];
     char outbound[SP_ADDR_BYTES]; /* for callers and the instance */
@@ -71,6 +75,7 @@
 
 /* SpRelaySettings_Load adds problems to ps and returns 0 if there are any. */
 int SpRelaySettings_Load(const char *file, SpRelaySettings *s, SpProblems *ps);
+void SpRelaySettings_Clear(SpRelaySettings *s);
 
 typedef struct Relay Relay;
 typedef struct Links Links;
@@ -108,11 +113,11 @@
 typedef struct Job {
     Relay *n;
     SpLimiterReq req;
-    char route[SP_FLOW_NAME];
-    char workspace[SP_FLOW_NAME]; /* of the caller; empty: none */
-    double share; /* at which the original request was admitted */
+    const char *route;     /* name, owned like the next one */
+    const char *workspace; /* of the caller; empty: none */
+    double share;          /* at which the original request was admitted */
     SpExchange *x;
-    char id[SP_ATTEMPT_ID_BYTES];
+    char *id; /* owned */
     int idempotent;
     int is_retry;
     int nested_failed; /* 1: a nested call of it failed */
@@ -162,7 +167,9 @@
 
 /* The local instance according to its reports. */
 typedef struct Instance {
-    SpReport last;
+    char *id;              /* owned; empty: not known */
+    int64_t start_ms, seq; /* of its last report */
+    int slots;             /* the same; 0: none yet */
     int known;
     int assumed;       /* known from a status check only, no report yet */
     int64_t last_seen; /* time of its last report, answer or check; 0: never */
@@ -172,7 +179,7 @@
 
 /* The linked instances of a service, and the budget of retries to them. */
 typedef struct Service {
-    char name[SP_FLOW_NAME];
+    const char *name;     /* the key of its table */
     GPtrArray *upstreams; /* of SpUpstream */
     SpRetryBudget retries;
     SpRetryParts *retry_parts; /* of workspaces; NULL before the first */
--- a/relay/remote.c
+++ b/relay/remote.c
@@ -45,8 +45,9 @@
 
     g_hash_table_remove(conn->jobs, &j->seq);
     if (r->body_len && !has_room_to_send(conn, r->body_len)) {
-        SpLog(SP_LOG_WARN, "answer-dropped", "id=%s route=%s bytes=%zu", j->id,
-              j->route, r->body_len);
+        SpLog(SP_LOG_WARN, "answer-dropped",
+              "id=%.128s route=%.128s bytes=%zu", j->id, j->route,
+              r->body_len);
         r = &lost;
     }
     begin_link_frame(&f, conn, FRAME_ANSWER, 13);
@@ -70,8 +71,6 @@
 handle_call(LinkConn *conn, FrameIn *f)
 {
     JobOpts o = {.done = send_answer, .owner = conn, .copy_body = 1};
-    char id[SP_ATTEMPT_ID_BYTES], service[SP_FLOW_NAME], route[SP_FLOW_NAME];
-    char workspace[SP_FLOW_NAME];
     const char *head;
     size_t head_len;
     uint64_t *key;
@@ -79,10 +78,10 @@
 
     mark_used(conn, SpHttp_Now());
     o.seq = get_uint(f);
-    get_str(f, id, sizeof id);
-    get_str(f, service, sizeof service);
-    get_str(f, route, sizeof route);
-    get_str(f, workspace, sizeof workspace);
+    o.id = get_text(f);
+    o.service = get_text(f);
+    o.route = get_text(f);
+    o.workspace = get_text(f);
     o.share = get_real(f);
     o.rank = (int)get_uint(f);
     o.nested = (int)get_uint(f);
@@ -95,10 +94,6 @@
     if (f->bad) {
         return 0;
     }
-    o.id = id;
-    o.service = service;
-    o.route = route;
-    o.workspace = workspace;
     o.head = g_string_new_len(head, (gssize)head_len);
     key = g_new(uint64_t, 1);
     *key = o.seq;
--- a/relay/reports.c
+++ b/relay/reports.c
@@ -18,25 +18,25 @@
         return 0;
     }
     if (r->partial && (!r->has_start || i->assumed)) {
-        return strcmp(r->id, i->last.id) != 0;
+        return strcmp(r->id, i->id) != 0;
     }
-    if (r->start_ms != i->last.start_ms) {
-        return r->start_ms < i->last.start_ms;
+    if (r->start_ms != i->start_ms) {
+        return r->start_ms < i->start_ms;
     }
-    return strcmp(r->id, i->last.id) != 0 ||
-           (!r->partial && r->seq <= i->last.seq);
+    return strcmp(r->id, i->id) != 0 || (!r->partial && r->seq <= i->seq);
 }
 
 static void
 begin_lifetime(Relay *n, const SpReport *r)
 {
+    g_free(n->inst.id);
     memset(&n->inst, 0, sizeof n->inst);
     n->inst.known = 1;
-    n->inst.last = *r;
+    n->inst.id = g_strdup(r->id);
     begin_capacity(n, r->slots);
     SpPool_CloseIdle(n->pool);
     SpLog(SP_LOG_INFO, "instance-up",
-          "instance=%s start_ms=%" PRId64 " slots=%d warmup_ms=%" PRId64,
+          "instance=%.128s start_ms=%" PRId64 " slots=%d warmup_ms=%" PRId64,
           r->id, r->start_ms, r->slots, r->warmup_us / SP_MS);
 }
 
@@ -67,11 +67,12 @@
         return;
     }
     i->known = i->assumed = 1;
-    g_strlcpy(i->last.id, id, sizeof i->last.id);
+    g_free(i->id);
+    i->id = g_strdup(id);
     i->last_seen = SpHttp_Now();
     SpLimiter_SetLimit(&n->limiter, default_limit(n));
-    SpLog(SP_LOG_INFO, "instance-up", "instance=%s from=check limit=%.0f", id,
-          n->limiter.limit);
+    SpLog(SP_LOG_INFO, "instance-up", "instance=%.128s from=check limit=%.0f",
+          id, n->limiter.limit);
     broadcast_state(n);
 }
 
@@ -84,29 +85,31 @@
 
     if (is_stale(i, r)) {
         SpLog(SP_LOG_INFO, "report-stale",
-              "instance=%s seq=%" PRId64 " start_ms=%" PRId64, r->id, r->seq,
-              r->start_ms);
+              "instance=%.128s seq=%" PRId64 " start_ms=%" PRId64, r->id,
+              r->seq, r->start_ms);
         return;
     }
-    if (!r->partial && i->assumed && strcmp(r->id, i->last.id) == 0) {
+    if (!r->partial && i->assumed && strcmp(r->id, i->id) == 0) {
         i->assumed = 0; /* same instance as in the status check */
     }
-    else if (!r->partial && (!i->known || r->start_ms != i->last.start_ms)) {
+    else if (!r->partial && (!i->known || r->start_ms != i->start_ms)) {
         begin_lifetime(n, r);
     }
     if (!i->known) {
         return; /* a partial report cannot introduce an instance */
     }
     if (!r->partial) {
-        i->last = *r;
+        i->start_ms = r->start_ms;
+        i->seq = r->seq;
+        i->slots = r->slots;
         i->unreachable = 0;
         set_slots(n, r->slots);
     }
     i->last_seen = now;
     if (r->phase != SP_INST_READY && !i->leaving_since) {
         i->leaving_since = now;
-        SpLog(SP_LOG_INFO, "instance-leaving", "instance=%s said=%s", r->id,
-              r->phase == SP_INST_GONE ? "gone" : "draining");
+        SpLog(SP_LOG_INFO, "instance-leaving", "instance=%.128s said=%s",
+              r->id, r->phase == SP_INST_GONE ? "gone" : "draining");
     }
     if (local_load(n, now).accepts != was) {
         broadcast_state(n);
@@ -114,35 +117,53 @@
     run_next(n);
 }
 
+/* Returns 1 for a report of the instance beside this node. A partial one names
+   neither address nor service. */
+static int
+is_local(const Relay *n, const SpReport *r)
+{
+    return r->partial || (strcmp(r->addr, n->settings.instance) == 0 &&
+                          strcmp(r->service, n->settings.service) == 0);
+}
+
 static void
-on_report(void *ctx, SpHttpReq *req)
+answer_report(Relay *n, SpHttpReq *req, SpArena *a)
 {
-    Relay *n = ctx;
     const SpMsg *m = SpHttpReq_Msg(req);
+    char addr[64], service[128];
     SpReport r;
 
-    if (n->adapter->is_ready_check(m)) {
-        SpHttpReq_Respond(req, is_relay_ready(n) ? 200 : 503, "", "", 0);
-        return;
-    }
-    if (!n->adapter->read_report(m, &r)) {
+    if (!n->adapter->read_report(m, a, &r)) {
         SpLog(SP_LOG_WARN, "report-unusable", "bytes=%zu", m->body_len);
         SpHttpReq_Respond(req, 400, "", "", 0);
         return;
     }
-    if ((!r.partial && strcmp(r.addr, n->settings.instance) != 0) ||
-        (!r.partial && strcmp(r.service, n->settings.service) != 0)) {
-        char a[64], s[128];
-        SpLog(SP_LOG_WARN, "report-foreign", "addr=%s service=%s",
-              SpLog_Quote(a, sizeof a, r.addr),
-              SpLog_Quote(s, sizeof s, r.service));
+    if (is_local(n, &r)) {
+        apply_report(n, &r);
     }
     else {
-        apply_report(n, &r);
+        SpLog(SP_LOG_WARN, "report-foreign", "addr=%s service=%.128s",
+              SpLog_Quote(addr, sizeof addr, r.addr),
+              SpLog_Quote(service, sizeof service, r.service));
     }
     SpHttpReq_Respond(req, 200, "Content-Type: application/json\r\n", "{}", 2);
 }
 
+static void
+on_report(void *ctx, SpHttpReq *req)
+{
+    Relay *n = ctx;
+    SpArena *a;
+
+    if (n->adapter->is_ready_check(SpHttpReq_Msg(req))) {
+        SpHttpReq_Respond(req, is_relay_ready(n) ? 200 : 503, "", "", 0);
+        return;
+    }
+    a = SpArena_New();
+    answer_report(n, req, a);
+    SpArena_Free(a);
+}
+
 static void
 on_report_disconnect(void *ctx, SpHttpReq *req)
 {
--- a/relay/run.c
+++ b/relay/run.c
@@ -29,8 +29,8 @@
         return SP_REPLY_OTHER; /* there may be any number of them */
     }
     SpLog(SP_LOG_WARN, "reply-discarded",
-          "id=%s instance=%s status=%d named=%d not_run=%d first=%d", j->id,
-          j->n->inst.last.id, m->status, r.has_id, r.not_run, first);
+          "id=%.128s instance=%.128s status=%d named=%d not_run=%d first=%d",
+          j->id, j->n->inst.id, m->status, r.has_id, r.not_run, first);
     return SP_REPLY_OTHER;
 }
 
@@ -57,16 +57,16 @@
     if (reply->not_run) {
         n->counters.jobs_rejected++;
         SpLog(SP_LOG_INFO, "run-rejected",
-              "id=%s route=%s instance=%s status=%d named=%d conn=%" PRIu64
-              " ms=%" PRId64,
-              j->id, j->route, n->inst.last.id, m->status, reply->has_id,
-              j->conn, (SpHttp_Now() - j->started) / SP_MS);
+              "id=%.128s route=%.128s instance=%.128s status=%d named=%d "
+              "conn=%" PRIu64 " ms=%" PRId64,
+              j->id, j->route, n->inst.id, m->status, reply->has_id, j->conn,
+              (SpHttp_Now() - j->started) / SP_MS);
     }
     else if (reply->refuses) {
         n->counters.refusals_unstated++;
         SpLog(SP_LOG_WARN, "refusal-unstated",
-              "id=%s route=%s instance=%s status=%d conn=%" PRIu64, j->id,
-              j->route, n->inst.last.id, m->status, j->conn);
+              "id=%.128s route=%.128s instance=%.128s status=%d conn=%" PRIu64,
+              j->id, j->route, n->inst.id, m->status, j->conn);
     }
 }
 
@@ -132,8 +132,8 @@
         r.reached = 0;
         if (!n->inst.unreachable) {
             n->inst.unreachable = 1;
-            SpLog(SP_LOG_WARN, "instance-down", "instance=%s why=%s",
-                  n->inst.last.id, why);
+            SpLog(SP_LOG_WARN, "instance-down", "instance=%.128s why=%s",
+                  n->inst.id, why);
             SpPool_CloseIdle(n->pool);
             broadcast_state(n);
         }
@@ -144,8 +144,9 @@
                   r.kind == SP_OK && m->status < 500 ? ran : -1);
     if (end != SP_POOL_OK) {
         SpLog(SP_LOG_WARN, "run-lost",
-              "id=%s instance=%s why=%s sent=%d conn=%" PRIu64 " ms=%" PRId64,
-              j->id, n->inst.last.id, why, r.reached, j->conn, ran / SP_MS);
+              "id=%.128s instance=%.128s why=%s sent=%d conn=%" PRIu64
+              " ms=%" PRId64,
+              j->id, n->inst.id, why, r.reached, j->conn, ran / SP_MS);
     }
     end_job(j, &r);
     if (lines) {
@@ -164,9 +165,8 @@
     j->started = now;
     start_capacity_run(j);
     Metrics_Time(n->metrics, METRIC_WAIT, now - j->req.arrived);
-    n->adapter->write_tail(j->head,
-                           MAX(j->req.deadline - now, MIN_LEFT_MS * SP_MS),
-                           n->inst.last.id);
+    n->adapter->write_tail(
+        j->head, MAX(j->req.deadline - now, MIN_LEFT_MS * SP_MS), n->inst.id);
     o.head = j->head->str;
     o.head_len = j->head->len;
     o.body = j->body;
--- a/relay/settings.c
+++ b/relay/settings.c
@@ -9,6 +9,10 @@
 #m, SpRead_Str, OFF(m), req, 1, 0, sizeof(((SpRelaySettings *)0)->m), \
             NULL                                                              \
     }
+#define TEXT(m)                                                               \
+    {                                                                         \
+#m, SpRead_Text, OFF(m), 1, 1, 0, 0, NULL                             \
+    }
 #define ADDR(m, req)                                                          \
     {                                                                         \
 #m, SpRead_Addr, OFF(m), req, 0, 0, SP_ADDR_BYTES, NULL               \
@@ -23,9 +27,9 @@
     }
 
 static const SpField fields[] = {
-    NAME(name, 1),
-    NAME(zone, 1),
-    NAME(service, 1),
+    TEXT(name),
+    TEXT(zone),
+    TEXT(service),
     NAME(interface, 1),
     ADDR(instance, 1),
     ADDR(outbound, 1),
@@ -79,3 +83,11 @@
     json_decref(j);
     return SpProblems_Count(ps) == before;
 }
+
+void
+SpRelaySettings_Clear(SpRelaySettings *s)
+{
+    g_clear_pointer(&s->name, g_free);
+    g_clear_pointer(&s->zone, g_free);
+    g_clear_pointer(&s->service, g_free);
+}
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -63,10 +63,10 @@
 
     if (!s) {
         s = g_new0(Service, 1);
-        g_strlcpy(s->name, name, sizeof s->name);
+        s->name = g_strdup(name);
         s->upstreams = g_ptr_array_new();
         SpRetryBudget_Init(&s->retries, &o);
-        g_hash_table_insert(n->services, g_strdup(name), s);
+        g_hash_table_insert(n->services, (gpointer)s->name, s);
     }
     return s;
 }
@@ -88,7 +88,7 @@
     SpRoutes *rs = n->adapter->read_config(p, len, &err);
 
     if (!rs) {
-        SpLog(SP_LOG_WARN, "config-unusable", "from=%s why=\"%s\"", from,
+        SpLog(SP_LOG_WARN, "config-unusable", "from=%.128s why=\"%s\"", from,
               err->message);
         g_error_free(err);
         return 0;
@@ -98,8 +98,9 @@
         return 1;
     }
     SpLog(SP_LOG_INFO, "config",
-          "version=%" PRIu64 " was=%" PRIu64 " from=%s routes=%u", rs->version,
-          n->routes ? n->routes->version : 0, from, SpRoutes_Count(rs));
+          "version=%" PRIu64 " was=%" PRIu64 " from=%.128s routes=%u",
+          rs->version, n->routes ? n->routes->version : 0, from,
+          SpRoutes_Count(rs));
     SpRoutes_Unref(n->routes);
     n->routes = rs;
     SpAdmission_SetRanks(&n->admission, &rs->ranks);
@@ -186,9 +187,11 @@
                   SpProblems_At(ps, i)->place, SpProblems_At(ps, i)->text);
         }
         SpProblems_Free(ps);
+        SpRelaySettings_Clear(&s);
         return;
     }
     SpProblems_Free(ps);
+    SpRelaySettings_Clear(&s);
     n->settings.report_s = s.report_s;
     n->settings.drain_s = s.drain_s;
     n->settings.stop_s = s.stop_s;
@@ -312,12 +315,12 @@
     SpUpstream *u = &n->self;
     SpNodeInfo m = {.started_us = n->incarnation};
 
-    g_strlcpy(m.name, n->settings.name, sizeof m.name);
+    m.name = n->settings.name;
+    m.zone = n->settings.zone;
+    m.service = n->settings.service;
     g_strlcpy(m.addr, n->settings.link, sizeof m.addr);
-    g_strlcpy(m.zone, n->settings.zone, sizeof m.zone);
-    g_strlcpy(m.service, n->settings.service, sizeof m.service);
     SpDirectory_Put(n->directory, &m, n->started);
-    g_strlcpy(u->name, n->settings.name, sizeof u->name);
+    u->name = n->settings.name;
     u->same_zone = 1;
     g_ptr_array_add(service_of(n, n->settings.service)->upstreams, u);
 }
@@ -369,6 +372,7 @@
     n->incarnation = (uint64_t)wall_us();
     n->directory = SpDirectory_New();
     n->rand = random_u64();
+    n->inst.id = g_strdup("");
     n->services = g_hash_table_new(g_str_hash, g_str_equal);
     n->metrics = Metrics_New();
     n->paths = SpPaths_New();
@@ -466,9 +470,9 @@
         return 1;
     }
     SpLog_Flush(SpHttp_Now());
-    SpLog(SP_LOG_INFO, "started", "zone=%s service=%s outbound=%s link=%s",
-          n.settings.zone, n.settings.service, n.settings.outbound,
-          n.settings.link);
+    SpLog(SP_LOG_INFO, "started",
+          "zone=%.128s service=%.128s outbound=%s link=%s", n.settings.zone,
+          n.settings.service, n.settings.outbound, n.settings.link);
     uv_run(n.loop, UV_RUN_DEFAULT);
     return 0;
 }
--- a/relay/state.c
+++ b/relay/state.c
@@ -238,9 +238,8 @@
 static void
 identify_peer(Peer *p, const SpNodeInfo *m)
 {
-    g_strlcpy(p->name, m->name, sizeof p->name);
-    g_strlcpy(p->upstream.name, m->name, sizeof p->upstream.name);
-    g_strlcpy(p->zone, m->zone, sizeof p->zone);
+    set_peer_name(p, m->name);
+    SpName_Set(&p->zone, m->zone);
     p->upstream.same_zone = p->conn->same_zone;
     p->incarnation = m->started_us;
     p->upstream.fails = 0;
@@ -248,8 +247,8 @@
     p->backoff_us = SP_BACKOFF_MIN_US;
     set_peer_service(p, m->service);
     SpLog(SP_LOG_INFO, "link-up",
-          "peer=%s addr=%s zone=%s service=%s started_us=%" PRIu64, p->name,
-          p->addr, p->zone, p->service, p->incarnation);
+          "peer=%.128s addr=%s zone=%.128s service=%.128s started_us=%" PRIu64,
+          p->name, p->addr, p->zone, p->service, p->incarnation);
 }
 
 /* A node that knows far fewer members than the other side, after a start
@@ -272,15 +271,15 @@
     Relay *n = conn->n;
     SpNodeInfo m = {0};
 
-    get_str(f, m.name, sizeof m.name);
-    get_str(f, m.addr, sizeof m.addr);
-    get_str(f, m.zone, sizeof m.zone);
-    get_str(f, m.service, sizeof m.service);
+    m.name = get_text(f);
+    get_addr(f, m.addr, sizeof m.addr);
+    m.zone = get_text(f);
+    m.service = get_text(f);
     m.started_us = get_uint(f);
     if (f->bad || !m.name[0] || !m.service[0]) {
         return 0;
     }
-    g_strlcpy(conn->name, m.name, sizeof conn->name);
+    SpName_Set(&conn->name, m.name);
     conn->up_at = SpHttp_Now();
     conn->same_zone = strcmp(m.zone, n->settings.zone) == 0;
     add_member(n, &m, 0);
--- a/relay/sums.c
+++ b/relay/sums.c
@@ -28,9 +28,18 @@
     uint64_t key;
     double admit;
     int64_t at, seen_at;
-    char workspace[SP_FLOW_NAME];
+    const char *workspace; /* name, owned */
 } LoggedLimit;
 
+void
+free_logged_limit(void *p)
+{
+    LoggedLimit *l = p;
+
+    SpName_Free(l->workspace);
+    g_free(l);
+}
+
 SpLedger *
 use_ledger(Relay *n, int64_t now)
 {
@@ -96,7 +105,7 @@
     int leaves = get_uint(f) != 0;
     uint32_t i, count;
     const msgpack_object *list = get_array(f, &count);
-    FrameIn in = {list, count, 0, 0};
+    FrameIn in = {.args = list, .n = count};
     GArray *usage = g_array_new(FALSE, FALSE, sizeof(SpUsage));
 
     for (i = 0; i < count / USAGE_FIELDS; i++) {
@@ -231,7 +240,7 @@
 {
     uint32_t i, count;
     const msgpack_object *list = get_array(f, &count);
-    FrameIn in = {list, count, 0, 0};
+    FrameIn in = {.args = list, .n = count};
 
     for (i = 0; i < count / SUM_FIELDS; i++) {
         SpQuotaSum s = {.key = get_uint(&in)};
@@ -250,7 +259,7 @@
 {
     uint32_t i, count;
     const msgpack_object *list = get_array(f, &count);
-    FrameIn in = {list, count, 0, 0};
+    FrameIn in = {.args = list, .n = count};
 
     for (i = 0; i < count; i++) {
         uint64_t key = get_uint(&in);
@@ -329,12 +338,12 @@
 log_limit(Quotas *q, const SpLedgerLimit *limit, int64_t now)
 {
     LoggedLimit *l = g_hash_table_lookup(q->limits, &limit->key);
-    char name[SP_FLOW_NAME * 4];
+    char name[SP_LOGGED_NAME];
 
     if (!l) {
         l = g_new0(LoggedLimit, 1);
         l->key = limit->key;
-        g_strlcpy(l->workspace, limit->workspace, sizeof l->workspace);
+        l->workspace = SpName_New(limit->workspace);
         g_hash_table_insert(q->limits, &l->key, l);
     }
     l->seen_at = now;
@@ -368,7 +377,7 @@
     g_hash_table_iter_init(&it, n->quotas->limits);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const LoggedLimit *l = v;
-        char name[SP_FLOW_NAME * 4];
+        char name[SP_LOGGED_NAME];
         if (now - l->seen_at > LOG_US) {
             SpLog(SP_LOG_INFO, "quota-limit-end", "workspace=%s",
                   SpLog_Quote(name, sizeof name, l->workspace));
--- a/relay/where.c
+++ b/relay/where.c
@@ -12,13 +12,11 @@
 
 #include "relay/relay.h"
 
-/* Maximum length of an argument, decoded. */
-#define ARG_BYTES 1024
-
+/* The texts are owned. */
 typedef struct Question {
-    char host[ARG_BYTES];
-    char path[ARG_BYTES];
-    char workspace[SP_FLOW_NAME]; /* empty: none */
+    char *host;
+    char *path;
+    char *workspace; /* NULL: none */
 } Question;
 
 static int
@@ -27,37 +25,40 @@
     return strncmp(s, name, strlen(name)) == 0;
 }
 
-/* Decodes the value of an argument of the query; returns 0 if it is missing or
-   too long. */
-static int
-read_arg(const char *target, const char *name, char *to, size_t size)
+/* Decodes the value of an argument of the query; returns NULL if it is missing
+   or cannot be decoded. */
+static char *
+read_arg(const char *target, const char *name)
 {
     const char *at = strchr(target, '?'), *end;
-    char *value;
-    int ok;
 
     while (at && !starts_with(at + 1, name)) {
         at = strchr(at + 1, '&');
     }
     if (!at) {
-        return 0;
+        return NULL;
     }
     at += 1 + strlen(name);
     end = at + strcspn(at, "&");
-    value = g_uri_unescape_segment(at, end, NULL);
-    ok = value && g_strlcpy(to, value, size) < size;
-    g_free(value);
-    return ok;
+    return g_uri_unescape_segment(at, end, NULL);
 }
 
 static int
 read_question(const char *target, Question *q)
 {
-    memset(q, 0, sizeof *q);
-    return read_arg(target, "host=", q->host, sizeof q->host) &&
-           read_arg(target, "path=", q->path, sizeof q->path) &&
-           (!strstr(target, "workspace=") ||
-            read_arg(target, "workspace=", q->workspace, sizeof q->workspace));
+    q->host = read_arg(target, "host=");
+    q->path = read_arg(target, "path=");
+    q->workspace = read_arg(target, "workspace=");
+    return q->host && q->path &&
+           (q->workspace || !strstr(target, "workspace="));
+}
+
+static void
+clear_question(Question *q)
+{
+    g_free(q->host);
+    g_free(q->path);
+    g_free(q->workspace);
 }
 
 static void
@@ -137,7 +138,7 @@
                                      : "no configuration yet\n");
         return 0;
     }
-    if (q->workspace[0]) {
+    if (q->workspace && q->workspace[0]) {
         w = ws ? SpWorkspaces_Find(ws, q->workspace) : NULL;
         if (!w) {
             g_string_append(s, "no workspace has this name\n");
@@ -164,8 +165,7 @@
 
     if (!read_question(SpHttpReq_Msg(req)->target, &q)) {
         status = 400;
-        g_string_append(s, "host and path are needed, 1023 bytes at most, "
-                           "a workspace has 63 at most\n");
+        g_string_append(s, "host and path are needed\n");
     }
     else if (!find(n, &q, &r, &rank, s)) {
         status = 404;
@@ -178,5 +178,6 @@
     }
     SpHttpReq_Respond(req, status, "Content-Type: text/plain\r\n", s->str,
                       s->len);
+    clear_question(&q);
     g_string_free(s, TRUE);
 }
--- a/standin/inst.h
+++ b/standin/inst.h
@@ -7,6 +7,7 @@
 #include "base/base.h"
 
 #define INST_HEAD_BYTES 65536
+#define INST_TEXT_BYTES 4096
 
 /* Options and state of the instance. */
 typedef struct Inst {
@@ -32,9 +33,11 @@
 } Conn;
 
 typedef struct Request {
-    char method[16], path[512], id[256], caller[64], expect[64], run[32];
-    char workspace[64]; /* empty: not named */
-    int has_key;        /* 1: the caller's key was passed on */
+    char method[16], run[32];
+    char path[INST_TEXT_BYTES], id[INST_TEXT_BYTES], caller[INST_TEXT_BYTES];
+    char expect[INST_TEXT_BYTES];
+    char workspace[INST_TEXT_BYTES]; /* empty: not named */
+    int has_key;                     /* 1: the caller's key was passed on */
     long left_ms;
     size_t body;
 } Request;
--- a/standin/instnet.c
+++ b/standin/instnet.c
@@ -100,7 +100,7 @@
     }
     *end = '\0';
     lines = g_strsplit(buf, "\r\n", -1);
-    if (sscanf(lines[0], "%15s %511s", r->method, r->path) != 2) {
+    if (sscanf(lines[0], "%15s %4095s", r->method, r->path) != 2) {
         r->path[0] = '\0';
     }
     for (i = 1; lines[i]; i++) {
--- a/standin/spinst.c
+++ b/standin/spinst.c
@@ -81,16 +81,16 @@
 report(const char *method, const char *state)
 {
     struct sockaddr_in sa;
-    char body[512], *s;
+    char *body, *s;
     int fd = socket(AF_INET, SOCK_STREAM, 0), ok = 0;
 
-    g_snprintf(body, sizeof body,
-               "{\"address\":\"%s\",\"born\":%lld,\"info\":{\"service\":"
-               "\"%s\",\"version\":\"v1\",\"zone\":\"%s\",\"slots\":%d},"
-               "\"status\":{\"state\":\"%s\",\"seq\":%d,"
-               "\"warmup_left_s\":0}}",
-               inst.addr, inst.start_ms, inst.service, inst.zone, inst.slots,
-               state, ++inst.seq);
+    body = g_strdup_printf(
+        "{\"address\":\"%s\",\"born\":%lld,\"info\":{\"service\":"
+        "\"%s\",\"version\":\"v1\",\"zone\":\"%s\",\"slots\":%d},"
+        "\"status\":{\"state\":\"%s\",\"seq\":%d,"
+        "\"warmup_left_s\":0}}",
+        inst.addr, inst.start_ms, inst.service, inst.zone, inst.slots, state,
+        ++inst.seq);
     s = g_strdup_printf("POST /Instances.%s/%s HTTP/1.1\r\nHost: x\r\n"
                         "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
                         method, inst.id, strlen(body), body);
@@ -100,6 +100,7 @@
         ok = read_status(fd) / 100 == 2;
     }
     close(fd);
+    g_free(body);
     g_free(s);
     return ok;
 }
--- a/test/directory.c
+++ b/test/directory.c
@@ -7,16 +7,17 @@
 
 #define ZONES 7
 #define MAX_NODES 811
+#define NAME_BYTES 16
 
 static SpNodeInfo
 make_node(const char *name, const char *addr, uint64_t started_us)
 {
     SpNodeInfo m = {.started_us = started_us};
 
-    g_strlcpy(m.name, name, sizeof m.name);
+    m.name = name;
+    m.zone = "z1";
+    m.service = "s";
     g_strlcpy(m.addr, addr, sizeof m.addr);
-    g_strlcpy(m.zone, "z1", sizeof m.zone);
-    g_strlcpy(m.service, "s", sizeof m.service);
     return m;
 }
 
@@ -73,6 +74,7 @@
 /* A fleet whose nodes are spread evenly over zones and services. */
 typedef struct Fleet {
     SpNodeInfo nodes[MAX_NODES];
+    char texts[MAX_NODES][3][NAME_BYTES]; /* name, zone and service of each */
     guint n, nservices;
 } Fleet;
 
@@ -86,10 +88,12 @@
     f->nservices = nservices;
     for (i = 0; i < n; i++) {
         SpNodeInfo *m = &f->nodes[i];
-        g_snprintf(m->name, sizeof m->name, "node-%u", i);
-        g_snprintf(m->zone, sizeof m->zone, "z%u", i % ZONES);
-        g_snprintf(m->service, sizeof m->service, "s%u",
-                   i / ZONES % nservices);
+        g_snprintf(f->texts[i][0], NAME_BYTES, "node-%u", i);
+        g_snprintf(f->texts[i][1], NAME_BYTES, "z%u", i % ZONES);
+        g_snprintf(f->texts[i][2], NAME_BYTES, "s%u", i / ZONES % nservices);
+        m->name = f->texts[i][0];
+        m->zone = f->texts[i][1];
+        m->service = f->texts[i][2];
     }
     return f;
 }
--- a/test/fuzz_wire.c
+++ b/test/fuzz_wire.c
@@ -23,11 +23,13 @@
 fuzz_report(const char *p, size_t n)
 {
     SpMsg m = make_msg(p, n);
+    SpArena *a = SpArena_New();
     SpReport r;
 
-    SpPlatform_ParseReport(&m, &r);
+    SpPlatform_ParseReport(&m, a, &r);
     m.target = "/Instances.Deregister/i-1";
-    SpPlatform_ParseReport(&m, &r);
+    SpPlatform_ParseReport(&m, a, &r);
+    SpArena_Free(a);
     g_free(m.body);
 }
 
@@ -152,7 +154,8 @@
     (void)ctx;
     (void)type;
     get_uint(f);
-    get_str(f, text, sizeof text);
+    get_text(f);
+    get_addr(f, text, sizeof text);
     get_real(f);
     get_bin(f, &n);
     get_array(f, &count);
--- a/test/load.c
+++ b/test/load.c
@@ -291,7 +291,7 @@
         return 0;
     }
     sim.upstreams[sim.ninstances++] = &i->upstream;
-    g_strlcpy(i->upstream.name, words[1], sizeof i->upstream.name);
+    SpName_Set(&i->upstream.name, words[1]);
     i->upstream.user = i;
     i->upstream.accepts = SP_ACCEPT_ALL;
     i->upstream.same_zone = (int)option_value(words, "near", 1);
--- a/test/wire.c
+++ b/test/wire.c
@@ -21,6 +21,38 @@
     "\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout_s\","  \
     "\"aim_s\",\"priority\",\"service\",\"max_attempts\",\"traffic_split\"]"
 
+/* Texts of a configuration have no bound of our own: none keeps a version out
+   or is dropped. */
+static void
+test_long_config(void)
+{
+    char *text = g_strnfill(5000, 'x');
+    char *doc = g_strdup_printf(
+        "{\"version\":\"0000000c\",\"routes\":{" COLUMNS ",\"rows\":["
+        "[\"%s\",\"%s\",\"/%s/\",\"safe\",0.5,0.2,1,null,2,"
+        "[{\"service\":\"%s\",\"weight\":90}]]]},\"services\":{\"columns\":["
+        "\"name\",\"health_path\"],\"rows\":[[\"%s\",\"/%s\"]]}}",
+        text, text, text, text, text, text);
+    char *path = g_strdup_printf("/%s/x?/", text);
+    char *error;
+    SpRoutes *rs = parse_config(doc, &error);
+    const SpServiceConf *c;
+    const SpPathRoute *r;
+
+    CU_ASSERT_PTR_NULL(error);
+    r = rs ? SpRoutes_Find(rs, text, path) : NULL;
+    c = rs ? SpRoutes_Service(rs, text) : NULL;
+    CU_ASSERT(r && strcmp(r->name, text) == 0);
+    CU_ASSERT(r && strcmp(r->parts[0].service, text) == 0);
+    CU_ASSERT(c && strcmp(c->check + 1, text) == 0);
+    path[1] = 'y';
+    CU_ASSERT(rs && !SpRoutes_Find(rs, text, path));
+    SpRoutes_Unref(rs);
+    g_free(path);
+    g_free(doc);
+    g_free(text);
+}
+
 static void
 test_config(void)
 {
@@ -186,6 +218,9 @@
     }
 }
 
+/* Of the reports that were read. */
+static SpArena *report_texts;
+
 static int
 report(const char *target, const char *body, SpReport *r)
 {
@@ -193,7 +228,10 @@
 
     m.body = (char *)body;
     m.body_len = strlen(body);
-    return SpPlatform_ParseReport(&m, r);
+    if (!report_texts) {
+        report_texts = SpArena_New();
+    }
+    return SpPlatform_ParseReport(&m, report_texts, r);
 }
 
 #define HEARTBEAT "/Instances.Heartbeat/i-1"
@@ -373,6 +411,7 @@
     {"relay", "reals in frames", test_frame_reals},
     {"relay", "elements of frames", test_frame_elements},
     {"platform", "config", test_config},
+    {"platform", "long_config", test_long_config},
     {"platform", "bad config", test_bad_config},
     {"platform", "wide split", test_wide_split},
     {"platform", "workspaces", test_workspaces},
