A request is a call of a run only where its instance can have sent it

Cause: an id that begins with that of a running request and a dot made the request a call of that run, and calls are let in without a look at a key. Rank, deadline, share, quota, admission and the stop followed the same.

Change: it is a call only if it shows no key (where keys are used), comes from this machine, and on a connection that has carried no caller's request. A parent counts for the end of a call only if it does so for its beginning.

--- a/http/conn.h
+++ b/http/conn.h
@@ -29,6 +29,8 @@
     int64_t began;     /* of the message being read */
     int64_t read_at;   /* when its last bytes arrived */
     size_t read_bytes; /* of it */
+    int marked;        /* by SpHttpReq_MarkConn */
+    int local;         /* opened on this machine: 1 yes, -1 no, 0 not asked */
     int served;        /* 1: a request has been received */
     int in_message;    /* a request has been read in part */
     int closing;       /* no further request is accepted */
--- a/http/http.h
+++ b/http/http.h
@@ -172,6 +172,15 @@
 const SpMsg *SpHttpReq_Msg(const SpHttpReq *r);
 /* SpHttpReq_OpenedAt returns the time at which its connection was accepted. */
 int64_t SpHttpReq_OpenedAt(const SpHttpReq *r);
+/* SpHttpReq_IsLocal returns 1 if the connection was opened on this machine:
+   from its own address, or from 127.0.0.1 to another loopback address. */
+int SpHttpReq_IsLocal(const SpHttpReq *r);
+/* A mark of the connection that its user may set; it is never cleared. */
+void SpHttpReq_MarkConn(SpHttpReq *r);
+int SpHttpReq_IsConnMarked(const SpHttpReq *r);
+/* SpHttp_IsLocalPeer decides the same for two IPv4 addresses, both in host
+   byte order. */
+int SpHttp_IsLocalPeer(uint32_t peer, uint32_t own);
 void SpHttpReq_SetData(SpHttpReq *r, void *data);
 void *SpHttpReq_Data(const SpHttpReq *r);
 /*
--- a/relay/call.h
+++ b/relay/call.h
@@ -46,7 +46,8 @@
 };
 
 /* entry.c */
-/* parent_of returns the run that made this call, or NULL. */
+/* parent_of returns the run that made this call; NULL if none did, or if it
+   has ended. */
 Job *parent_of(const Call *c);
 /* forward_answer sends the instance's answer to the caller and frees the
    call. */
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -14,7 +14,7 @@
 Job *
 parent_of(const Call *c)
 {
-    return c->parent ? g_hash_table_lookup(c->n->jobs_by_id, c->parent) : NULL;
+    return c->nested ? g_hash_table_lookup(c->n->jobs_by_id, c->parent) : NULL;
 }
 
 /* Marks the parent request: retrying it on another instance would not help if
@@ -32,7 +32,7 @@
 static void
 free_call(Call *c)
 {
-    Job *j = c->nested ? parent_of(c) : NULL;
+    Job *j = parent_of(c);
 
     if (j) {
         nested_ended(j);
@@ -230,6 +230,24 @@
     return parent->calls_left + MAX(rest, 0);
 }
 
+/*
+ * Returns 1 if the instance beside this node may have sent the request as a
+ * call: it shows no key, and came from this machine on a connection that has
+ * carried no request of a caller. An id alone tells nothing, as callers choose
+ * theirs.
+ */
+static int
+may_be_nested(const Call *c, const SpRequestInfo *a)
+{
+    int shows_key = c->routes->workspaces && a->key;
+
+    if (!a->parent_len || shows_key) {
+        SpHttpReq_MarkConn(c->req);
+        return 0;
+    }
+    return !SpHttpReq_IsConnMarked(c->req) && SpHttpReq_IsLocal(c->req);
+}
+
 /* A nested call inherits the rank, share and deadline of the request on behalf
    of which the local instance makes it. */
 static void
@@ -237,11 +255,12 @@
 {
     Job *j;
 
-    if (a->parent_len) {
-        c->parent = g_strndup(a->id, a->parent_len);
-    }
-    j = parent_of(c);
     c->rank = SpRankMap_Rank(&c->routes->ranks, NULL, c->route->rank);
+    if (!may_be_nested(c, a)) {
+        return;
+    }
+    c->parent = g_strndup(a->id, a->parent_len);
+    j = g_hash_table_lookup(c->n->jobs_by_id, c->parent);
     if (!j) {
         return;
     }
--- a/test/wire.c
+++ b/test/wire.c
@@ -218,6 +218,19 @@
     }
 }
 
+/* A call of the local instance comes from the machine's own address. */
+static void
+test_local_peer(void)
+{
+    const uint32_t lo = 0x7f000001, own = 0x0a010008;
+
+    CU_ASSERT(SpHttp_IsLocalPeer(own, own));
+    CU_ASSERT(SpHttp_IsLocalPeer(lo, lo + 0x010100));
+    CU_ASSERT_FALSE(SpHttp_IsLocalPeer(own + 1, own));
+    CU_ASSERT_FALSE(SpHttp_IsLocalPeer(lo, own));
+    CU_ASSERT_FALSE(SpHttp_IsLocalPeer(lo + 1, lo + 0x010100));
+}
+
 /* Of the reports that were read. */
 static SpArena *report_texts;
 
@@ -412,6 +425,7 @@
     {"relay", "elements of frames", test_frame_elements},
     {"platform", "config", test_config},
     {"platform", "long_config", test_long_config},
+    {"platform", "local_peer", test_local_peer},
     {"platform", "bad config", test_bad_config},
     {"platform", "wide split", test_wide_split},
     {"platform", "workspaces", test_workspaces},
