Calls of runs that their relay does not hold are served, or refused as not run

Cause: a call shows no key and is known by its run only, which the killed process took with it. The same without a restart: the run was dropped with its caller's connection, or its answer lost, and forgotten at once.

Change: the node that sent a run which is not idempotent keeps what calls inherit when the link is lost, and sends it (frame runs) when the link is back; a run that is dropped or lost here is kept to its deadline. What can be a run of an earlier process but is not known gets 503 (run-unknown) as long as one can live, then 401.

keys.t: the call of a request that doesn't run got 401; seconds after the start of the relay it is 503 now, as the run may be one of an earlier process.

--- a/base/base.h
+++ b/base/base.h
@@ -74,6 +74,7 @@
     SP_UNAUTHORIZED,
     SP_OVER_QUOTA,
     SP_INTERNAL,
+    SP_RUN_UNKNOWN,
     SP_NKINDS
 } SpKind;
 
--- a/base/kind.c
+++ b/base/kind.c
@@ -54,6 +54,8 @@
                          "the token is missing or unknown"},
     [SP_OVER_QUOTA] = {"over-quota", 429, SP_NOT_RUN, 0, 0,
                        "the workspace has used up its quota"},
+    [SP_RUN_UNKNOWN] = {"run-unknown", 503, SP_NOT_RUN, 0, 200,
+                        "the request that makes this call is not known here"},
     [SP_INTERNAL] = {"internal", 500, SP_UNKNOWN, 0, 0, "internal error"},
 };
 
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -38,6 +38,9 @@
     int64_t aim_us; /* target latency; 0: none */
 } SpPathRoute;
 
+/* Deadline of a request that gives none, on a route without a timeout. */
+#define SP_DEFAULT_DEADLINE_US (30 * SP_SEC)
+
 typedef struct SpRouteLimits {
     int64_t header_bytes, body_bytes;
     int64_t header_us, idle_us;
@@ -56,6 +59,7 @@
     SpRouteLimits limits;
     SpArena *arena; /* of the routes */
     guint nroutes;
+    int64_t longest_us;       /* longest time that a route gives a request */
     GHashTable *hosts;        /* name to SpHostRoutes */
     GHashTable *services;     /* name to SpServiceConf */
     SpWorkspaces *workspaces; /* NULL: callers need no key */
--- a/flow/routes.c
+++ b/flow/routes.c
@@ -118,6 +118,9 @@
     copy->prefix = SpArena_Str(rs->arena, r->prefix);
     copy->parts = copy_parts(rs->arena, r);
     rs->nroutes++;
+    rs->longest_us =
+        MAX(rs->longest_us,
+            r->timeout_us > 0 ? r->timeout_us : SP_DEFAULT_DEADLINE_US);
     rs->route_ranks = SpRankSet_Add(rs->route_ranks, r->rank);
     if (!g_hash_table_contains(h->prefixes, copy->prefix)) {
         g_hash_table_insert(h->prefixes, (gpointer)copy->prefix, copy);
--- a/relay/entry.c
+++ b/relay/entry.c
@@ -3,8 +3,6 @@
 
 #include "relay/call.h"
 
-/* Deadline of a request that gives none. */
-#define DEFAULT_DEADLINE_US (30 * SP_SEC)
 /* Minimum of Retry-After and width of its random spread. */
 #define RETRY_AFTER_MIN_MS 100
 #define RETRY_AFTER_SPREAD_MS 200
@@ -196,7 +194,8 @@
 }
 
 /* Finds the workspace of the caller by its key. Calls of a running request
-   have none and belong to its workspace. */
+   have none and belong to its workspace; if that request may be one that this
+   process does not know, they are refused and may be repeated. */
 static int
 find_workspace(Call *c, const SpRequestInfo *a)
 {
@@ -206,6 +205,11 @@
         return 1;
     }
     c->workspace = a->key ? SpWorkspaces_FindKey(ws, a->key) : NULL;
+    if (!c->workspace && !c->route->is_public && c->parent &&
+        may_be_past_run(c->n, c->parent)) {
+        refuse(c, SP_RUN_UNKNOWN);
+        return 0;
+    }
     if (!c->workspace && !c->route->is_public) {
         answer_error(c, SP_UNAUTHORIZED, 401, c->n->adapter->key_challenge);
         return 0;
@@ -221,10 +225,10 @@
    its parent's, as many as runs of that route usually make, and those after
    the parent. */
 static double
-calls_left_after(const Call *c, const Job *parent)
+calls_left_after(const Call *c, const RunInfo *parent, double calls_done)
 {
     SpPaths *ps = c->n->paths;
-    double rest = SpPaths_Calls(ps, parent->route) - parent->calls_done - 1 -
+    double rest = SpPaths_Calls(ps, parent->route) - calls_done - 1 -
                   SpPaths_Calls(ps, c->route->name);
 
     return parent->calls_left + MAX(rest, 0);
@@ -253,6 +257,9 @@
 static void
 inherit_parent(Call *c, const SpRequestInfo *a)
 {
+    Relay *n = c->n;
+    const RunInfo *past;
+    RunInfo of;
     Job *j;
 
     c->rank = SpRankMap_Rank(&c->routes->ranks, NULL, c->route->rank);
@@ -260,22 +267,26 @@
         return;
     }
     c->parent = g_strndup(a->id, a->parent_len);
-    j = g_hash_table_lookup(c->n->jobs_by_id, c->parent);
-    if (!j) {
+    j = g_hash_table_lookup(n->jobs_by_id, c->parent);
+    past = j ? NULL : find_past_run(n->past_runs, c->parent);
+    if (!j && (!past || !past->is_served)) {
         return;
     }
+    of = j ? run_info(j) : *past;
     c->nested = 1;
-    nested_began(j);
-    c->is_retry = j->is_retry;
-    c->n->parents_known = 1;
-    c->rank = j->req.rank;
-    c->deadline = MIN(c->deadline, j->req.deadline);
-    c->share = j->share;
-    if (j->workspace[0]) {
-        c->workspace_name = SpName_New(j->workspace);
-    }
-    c->calls_left = calls_left_after(c, j);
-    SpPaths_RecordCall(c->n->paths, c->arrived, j->route, c->route->name);
+    if (j) {
+        nested_began(j);
+    }
+    c->is_retry = of.is_retry;
+    n->parents_known = 1;
+    c->rank = of.rank;
+    c->deadline = MIN(c->deadline, of.deadline);
+    c->share = of.share;
+    if (of.workspace[0]) {
+        c->workspace_name = SpName_New(of.workspace);
+    }
+    c->calls_left = calls_left_after(c, &of, j ? j->calls_done : 0);
+    SpPaths_RecordCall(n->paths, c->arrived, of.route, c->route->name);
 }
 
 /* Rejects new requests in excess of the capacity of the services downstream,
@@ -370,7 +381,7 @@
     n->adapter->read_request(c->msg, &a);
     c->id = a.id;
     c->deadline =
-        c->arrived + (a.left_us > 0 ? a.left_us : DEFAULT_DEADLINE_US);
+        c->arrived + (a.left_us > 0 ? a.left_us : SP_DEFAULT_DEADLINE_US);
     if (!find_route(c, &a)) {
         return;
     }
--- a/relay/frame.c
+++ b/relay/frame.c
@@ -11,9 +11,9 @@
 #define LENGTH_BYTES 4
 
 static const char *const type_names[FRAME_NTYPES] = {
-    "hello",    "state",      "alive",  "call",   "answer",
-    "cancel",   "get_config", "config", "digest", "members",
-    "stopping", "arrivals",   "usage",  "words",  "sums"};
+    "hello",      "state",  "alive",  "call",    "answer",   "cancel",
+    "get_config", "config", "digest", "members", "stopping", "arrivals",
+    "usage",      "words",  "sums",   "runs"};
 
 const char *
 FrameType_Name(FrameType type)
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -39,6 +39,9 @@
     FRAME_SUMS,  /* start of the sender, kind (relay/sums.c), list of: key,
                     admitted, demand, offered, part held in millionths, level;
                     list of the keys of its members */
+    FRAME_RUNS,  /* list of: id, route, workspace, share, rank, is_retry, calls
+                    left, time to the deadline of a run at the receiver whose
+                    answer was lost */
     FRAME_NTYPES
 } FrameType;
 
--- a/relay/instance.c
+++ b/relay/instance.c
@@ -228,6 +228,7 @@
     }
     if (j->x) {
         SpExchange_Abort(j->x);
+        keep_run(j);
         SpLog(SP_LOG_INFO, "run-dropped",
               "id=%.128s route=%.128s instance=%.128s ms=%" PRId64, j->id,
               j->route, n->inst.id, (SpHttp_Now() - j->started) / SP_MS);
@@ -255,6 +256,7 @@
 
     SpExchange_Abort(j->x);
     j->x = NULL;
+    keep_run(j);
     SpLog(SP_LOG_WARN, "run-cut", "id=%.128s instance=%.128s ms=%" PRId64,
           j->id, n->inst.id, (now - j->started) / SP_MS);
     end_capacity_run(j, SP_RUN_LOST);
--- a/relay/link.c
+++ b/relay/link.c
@@ -328,6 +328,8 @@
         return handle_words(conn, f);
     case FRAME_SUMS:
         return handle_sums(conn, f);
+    case FRAME_RUNS:
+        return handle_runs(conn, f);
     case FRAME_NTYPES:
         break;
     }
--- a/relay/link.h
+++ b/relay/link.h
@@ -14,6 +14,7 @@
  *   state.c   exchange of state and configuration
  *   quota.c   exchange of reports and sums for quotas
  *   remote.c  calls
+ *   runs.c    runs that a node that has started again does not know
  */
 #ifndef SP_LINK_H
 #define SP_LINK_H
@@ -75,6 +76,7 @@
     SpUpstream upstream;
     LinkConn *conn;
     GHashTable *calls; /* seq to Call */
+    PastRuns *lost;    /* runs there whose answers were lost */
     uint64_t seq;
     int64_t reconnect_at, backoff_us;
     int64_t seen_at; /* when it was added, announced or last connected */
@@ -186,6 +188,11 @@
 /* fair.c */
 int handle_arrivals(LinkConn *conn, FrameIn *f);
 
+/* runs.c */
+/* send_past_runs sends the runs to the node that had them. */
+void send_past_runs(LinkConn *conn, const PastRuns *rs);
+int handle_runs(LinkConn *conn, FrameIn *f);
+
 /* remote.c */
 int handle_call(LinkConn *conn, FrameIn *f);
 int handle_answer(LinkConn *conn, FrameIn *f);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -95,6 +95,7 @@
     p->service = SpName_New("");
     set_peer_name(p, "");
     g_strlcpy(p->addr, addr, sizeof p->addr);
+    p->lost = new_past_runs();
     p->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     p->backoff_us = SP_BACKOFF_MIN_US;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -20,6 +20,7 @@
  *   quota.c     quotas of workspaces: admission, reports to the coordinator
  *   sums.c      the same at the coordinator, and between coordinators
  *   remote.c    calls between relays
+ *   runs.c      runs that this process does not hold, but whose calls may come
  *   frame.c     encoding of the messages on those connections
  *   store.c     calls to the platform's store (store.h: shared definitions)
  *   register.c  registration of this node there, and the list of the others
@@ -81,6 +82,7 @@
 typedef struct Links Links;
 typedef struct Store Store;
 typedef struct Quotas Quotas;
+typedef struct PastRuns PastRuns;
 typedef struct Peer Peer;
 typedef struct Call Call; /* a request of a caller, in call.h */
 
@@ -109,6 +111,18 @@
     int follows; /* 1: it follows the configuration in the store */
 } Load;
 
+/* What the calls of a run inherit from it; the names belong to its owner. */
+typedef struct RunInfo {
+    const char *route;
+    const char *workspace; /* of the caller; empty: none */
+    double share;          /* at which the original request was admitted */
+    double calls_left;     /* calls that its original request needs after it */
+    int rank;
+    int is_retry;
+    int is_served; /* 1: its calls are served, 0: they are refused */
+    int64_t deadline;
+} RunInfo;
+
 /* A request at the node of the instance that runs it. */
 typedef struct Job {
     Relay *n;
@@ -221,6 +235,8 @@
     SpAdmission admission;
     SpUpstream self;
     GHashTable *jobs_by_id;
+    PastRuns *past_runs;
+    int64_t longest_run_us; /* of the requests that configurations allow */
     int parents_known; /* 1: nested calls have named a known parent request */
     GQueue jobs;       /* of Job */
     GQueue calls;      /* of Call */
@@ -317,6 +333,23 @@
 double fair_share(const Call *c, const SpShares *path);
 void tick_fair(Relay *n, int64_t now);
 
+/* runs.c */
+PastRuns *new_past_runs(void);
+void free_past_runs(PastRuns *rs);
+/* add_past_run stores a copy of *of and its names. */
+void add_past_run(PastRuns *rs, const char *id, const RunInfo *of);
+/* find_past_run returns NULL if the run is not known, or has ended long ago.
+ */
+const RunInfo *find_past_run(const PastRuns *rs, const char *id);
+void expire_past_runs(PastRuns *rs, int64_t now);
+/* run_info returns what calls inherit from a job. */
+RunInfo run_info(const Job *j);
+/* keep_run is called when a job ends whose run the instance may continue. */
+void keep_run(const Job *j);
+/* may_be_past_run returns 1 if the instance may be at work on a run of that id
+   that this process does not hold. */
+int may_be_past_run(const Relay *n, const char *id);
+
 /* entry.c, attempt.c */
 int listen_callers(Relay *n, GError **err);
 void end_attempt(Call *c, const Result *r);
--- a/relay/remote.c
+++ b/relay/remote.c
@@ -1,6 +1,7 @@
 /* Calls between relays and their answers. */
 #include <string.h>
 
+#include "relay/call.h"
 #include "relay/link.h"
 
 /* A link with more unsent bytes than this accepts no further call. */
@@ -19,6 +20,25 @@
     }
 }
 
+/* A run that is not idempotent may go on at its instance, whose node has
+   perhaps ended. */
+static void
+keep_lost_call(Peer *p, const Call *c)
+{
+    RunInfo of = {.route = c->route->name,
+                  .workspace = c->workspace_name ? c->workspace_name : "",
+                  .share = c->share,
+                  .calls_left = c->calls_left,
+                  .rank = c->rank,
+                  .is_retry = c->is_retry || c->reached > 0,
+                  .is_served = 1,
+                  .deadline = c->deadline};
+
+    if (!c->route->idempotent) {
+        add_past_run(p->lost, c->id, &of);
+    }
+}
+
 void
 fail_calls(Peer *p)
 {
@@ -28,6 +48,7 @@
 
     g_hash_table_remove_all(p->calls);
     for (k = list; k; k = k->next) {
+        keep_lost_call(p, k->data);
         end_attempt(k->data, &lost);
     }
     g_list_free(list);
--- a/relay/run.c
+++ b/relay/run.c
@@ -142,6 +142,9 @@
     end_capacity_run(j, run_end(&r));
     SpLimiter_End(&n->limiter, now, &j->req,
                   r.kind == SP_OK && m->status < 500 ? ran : -1);
+    if (end != SP_POOL_OK && r.reached) {
+        keep_run(j);
+    }
     if (end != SP_POOL_OK) {
         SpLog(SP_LOG_WARN, "run-lost",
               "id=%.128s instance=%.128s why=%s sent=%d conn=%" PRIu64
--- a/relay/sprelay.c
+++ b/relay/sprelay.c
@@ -103,6 +103,7 @@
           SpRoutes_Count(rs));
     SpRoutes_Unref(n->routes);
     n->routes = rs;
+    n->longest_run_us = MAX(n->longest_run_us, rs->longest_us);
     SpAdmission_SetRanks(&n->admission, &rs->ranks);
     apply_limits(n);
     configure_quotas(n);
@@ -252,6 +253,7 @@
     tick_check(n, now);
     tick_instance(n, now);
     tick_calls(n, now);
+    expire_past_runs(n->past_runs, now);
     tick_fair(n, now);
     tick_links(n, now);
     tick_quotas(n, now);
@@ -381,6 +383,7 @@
     g_queue_init(&n->jobs);
     g_queue_init(&n->calls);
     n->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    n->past_runs = new_past_runs();
     SpLimiter_Init(&n->limiter);
     n->learns = strcmp(n->settings.capacity, "learned") == 0;
     SpAdmission_Init(&n->admission);
--- a/relay/state.c
+++ b/relay/state.c
@@ -246,6 +246,9 @@
     p->upstream.avoid_until = 0;
     p->backoff_us = SP_BACKOFF_MIN_US;
     set_peer_service(p, m->service);
+    send_past_runs(p->conn, p->lost);
+    free_past_runs(p->lost);
+    p->lost = new_past_runs();
     SpLog(SP_LOG_INFO, "link-up",
           "peer=%.128s addr=%s zone=%.128s service=%.128s started_us=%" PRIu64,
           p->name, p->addr, p->zone, p->service, p->incarnation);
--- a/test/keys.t
+++ b/test/keys.t
@@ -82,6 +82,9 @@
 all_unusable() { [ "$(unusable | wc -l)" -ge 6 ]; }
 until_ok 10 all_unusable
 unusable
+no_run() { [ "$(code back-1 p2.2 GET /leaf/x)" = 401 ]; }
+until_ok 8 no_run
+echo "$(code back-1 p2.3 GET /leaf/x)$(run_of p2.3) for one that doesn't run, later"
 try "the version in force stays" f1 /safe/x "$KEY k5\r\n"
 try "and no other" f2 /safe/x "$KEY k6\r\n"
 echo "keys in logs and metrics: $(cat "$DIR"/relay-*.out "$DIR"/relay-*.err | grep -cE '\bk[1-7]\b')"
