An acknowledged leaving binds the processes that come later

Cause: the drain time began when the process heard of the leaving for the first time; the process that had acknowledged it was killed, and a late report that said the same began it anew. The same with a deregistration at a process that knew nothing, a late report or a wrong status check that said ready; and a report of another address was acknowledged, though its node did not learn of it.

Change: a node tells the others before it acknowledges a leaving (frame leaving), and each tells a node that says hello. Without them a report of leaving begins a drain time only if it is provably the first one. A deregistration is kept also for an instance that is not known. A report of another address gets 421.

--- a/relay/instance.c
+++ b/relay/instance.c
@@ -32,7 +32,7 @@
         return SP_NO_TARGET;
     }
     if (i->leaving_since) {
-        return now < drain_end(n) ? SP_OK : SP_LEAVING;
+        return !i->has_left && now < drain_end(n) ? SP_OK : SP_LEAVING;
     }
     if ((double)(now - i->last_seen) >
         MAX_MISSED_REPORTS * n->settings.report_s * SP_SEC) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -19,6 +19,7 @@
  *   contacts.c  the first nodes of each zone
  *   quota.c     quotas of workspaces: admission, reports to the coordinator
  *   sums.c      the same at the coordinator, and between coordinators
+ *   leaving.c   instances that leave, as other nodes remember them
  *   remote.c    calls between relays
  *   runs.c      runs that this process does not hold, but whose calls may come
  *   frame.c     encoding of the messages on those connections
@@ -188,7 +189,10 @@
     int assumed;       /* known from a status check only, no report yet */
     int64_t last_seen; /* time of its last report, answer or check; 0: never */
     int64_t leaving_since; /* time of its first report of leaving; 0: none */
-    int unreachable;       /* connecting to it failed */
+    int has_left; /* 1: an earlier process may have acknowledged that report
+                     so long ago that its drain time is over */
+    int64_t reported_at; /* time of its last complete report */
+    int unreachable;     /* connecting to it failed */
 } Instance;
 
 /* The linked instances of a service, and the budget of retries to them. */
@@ -283,6 +287,13 @@
 int listen_reports(Relay *n, GError **err);
 /* assume_instance records that a status check found the instance ready. */
 void assume_instance(Relay *n, const char *id);
+/* learn_leaving records what another node remembers: the instance has been
+   leaving since that time. */
+void learn_leaving(Relay *n, const char *id, int64_t start_ms, int64_t since);
+
+/* leaving.c */
+/* announce_leaving tells the other nodes that the local instance leaves. */
+void announce_leaving(Relay *n);
 
 /* instance.c */
 Job *start_job(Relay *n, const JobOpts *o);
--- a/relay/reports.c
+++ b/relay/reports.c
@@ -6,11 +6,40 @@
 /* Concurrency limit until this or another instance of the service reports
    one. */
 #define ASSUMED_LIMIT 8.0
+/* A report arrives at most this long after it was sent. */
+#define LATEST_REPORT_US (10 * SP_SEC)
+/* Status of the answer to a report that another node is to get. */
+#define MISDIRECTED 421
+
+/* 1 if nothing is known of the instance but its id, and that it leaves. */
+static int
+is_only_gone(const Instance *i)
+{
+    return i->leaving_since && !i->reported_at && !i->start_ms;
+}
+
+/* 1 if the report is of such an instance: one of the same id may have begun
+   again, but not so soon. */
+static int
+is_of_the_gone(const Relay *n, const SpReport *r)
+{
+    const Instance *i = &n->inst;
+    double served_us = n->settings.drain_s * SP_SEC;
+
+    return is_only_gone(i) && strcmp(r->id, i->id) == 0 &&
+           SpHttp_Now() - i->leaving_since <
+               (int64_t)served_us + LATEST_REPORT_US;
+}
 
 /* 1 if the report is older than the last one or from an earlier lifetime. */
 static int
-is_stale(const Instance *i, const SpReport *r)
+is_stale(const Relay *n, const SpReport *r)
 {
+    const Instance *i = &n->inst;
+
+    if (is_of_the_gone(n, r)) {
+        return 1;
+    }
     if (!i->known) {
         return 0;
     }
@@ -76,40 +105,98 @@
     broadcast_state(n);
 }
 
+/*
+ * Returns 1 if the report, which says that the instance leaves, is the first
+ * of its lifetime that does: the one before it was received here, or a report
+ * that was sent after the start of this process. Otherwise an earlier process
+ * may have acknowledged one.
+ */
+static int
+is_first_of_leaving(const Relay *n, const SpReport *r)
+{
+    const Instance *i = &n->inst;
+
+    if (!i->known || i->assumed || strcmp(r->id, i->id) != 0) {
+        return 0;
+    }
+    if (!r->partial && r->start_ms != i->start_ms) {
+        return 0;
+    }
+    return (!r->partial && r->seq == i->seq + 1) ||
+           i->reported_at - n->started > LATEST_REPORT_US;
+}
+
+/* An instance of which only this is known, that it leaves or is gone. */
 static void
-apply_report(Relay *n, const SpReport *r)
+introduce_leaving(Relay *n, const char *id, int64_t start_ms)
+{
+    Instance *i = &n->inst;
+
+    g_free(i->id);
+    memset(i, 0, sizeof *i);
+    i->known = 1;
+    i->id = g_strdup(id);
+    i->start_ms = start_ms;
+    i->last_seen = SpHttp_Now();
+    SpLimiter_SetLimit(&n->limiter, default_limit(n));
+}
+
+static void
+begin_leaving(Relay *n, const SpReport *r, int is_first)
+{
+    Instance *i = &n->inst;
+
+    i->leaving_since = SpHttp_Now();
+    i->has_left = !is_first;
+    SpLog(SP_LOG_INFO, "instance-leaving", "instance=%.128s said=%s first=%d",
+          r->id, r->phase == SP_INST_GONE ? "gone" : "draining", is_first);
+    announce_leaving(n);
+}
+
+/* What the report says of an instance that is known, or is introduced by it.
+ */
+static void
+take_report(Relay *n, const SpReport *r)
 {
     Instance *i = &n->inst;
-    int64_t now = SpHttp_Now();
-    SpAcceptState was = local_load(n, now).accepts;
 
-    if (is_stale(i, r)) {
-        SpLog(SP_LOG_INFO, "report-stale",
-              "instance=%.128s seq=%" PRId64 " start_ms=%" PRId64, r->id,
-              r->seq, r->start_ms);
-        return;
-    }
     if (!r->partial && i->assumed && strcmp(r->id, i->id) == 0) {
         i->assumed = 0; /* same instance as in the status check */
     }
-    else if (!r->partial && (!i->known || r->start_ms != i->start_ms)) {
+    else if (!r->partial &&
+             (!i->known || r->start_ms != i->start_ms || is_only_gone(i))) {
         begin_lifetime(n, r);
     }
     if (!i->known) {
-        return; /* a partial report cannot introduce an instance */
+        introduce_leaving(n, r->id, r->start_ms);
     }
     if (!r->partial) {
         i->start_ms = r->start_ms;
         i->seq = r->seq;
         i->slots = r->slots;
         i->unreachable = 0;
+        i->reported_at = SpHttp_Now();
         set_slots(n, r->slots);
     }
-    i->last_seen = now;
-    if (r->phase != SP_INST_READY && !i->leaving_since) {
-        i->leaving_since = now;
-        SpLog(SP_LOG_INFO, "instance-leaving", "instance=%.128s said=%s",
-              r->id, r->phase == SP_INST_GONE ? "gone" : "draining");
+    i->last_seen = SpHttp_Now();
+}
+
+static void
+apply_report(Relay *n, const SpReport *r)
+{
+    int64_t now = SpHttp_Now();
+    SpAcceptState was = local_load(n, now).accepts;
+    int is_first = is_first_of_leaving(n, r);
+
+    if (is_stale(n, r)) {
+        SpLog(SP_LOG_INFO, "report-stale",
+              "instance=%.128s seq=%" PRId64 " start_ms=%" PRId64, r->id,
+              r->seq, r->start_ms);
+        return;
+    }
+    take_report(n, r);
+    if (r->phase != SP_INST_READY && !n->inst.leaving_since) {
+        begin_leaving(n, r, is_first);
     }
     if (local_load(n, now).accepts != was) {
         broadcast_state(n);
@@ -117,20 +204,59 @@
     run_next(n);
 }
 
-/* Returns 1 for a report of the instance beside this node. A partial one names
-   neither address nor service. */
+void
+learn_leaving(Relay *n, const char *id, int64_t start_ms, int64_t since)
+{
+    Instance *i = &n->inst;
+    int is_same =
+        strcmp(id, i->id) == 0 && (i->assumed || i->start_ms == start_ms);
+
+    if (i->known && !is_same) {
+        return;
+    }
+    if (!i->known) {
+        introduce_leaving(n, id, start_ms);
+    }
+    i->assumed = 0;
+    i->start_ms = start_ms;
+    i->leaving_since = i->leaving_since ? MIN(i->leaving_since, since) : since;
+    SpLog(SP_LOG_INFO, "instance-leaving",
+          "instance=%.128s said=before ms=%" PRId64, id,
+          (SpHttp_Now() - since) / SP_MS);
+    broadcast_state(n);
+    run_next(n);
+}
+
+/* A partial report names neither address nor service. */
 static int
-is_local(const Relay *n, const SpReport *r)
+is_from_elsewhere(const Relay *n, const SpReport *r)
 {
-    return r->partial || (strcmp(r->addr, n->settings.instance) == 0 &&
-                          strcmp(r->service, n->settings.service) == 0);
+    return !r->partial && strcmp(r->addr, n->settings.instance) != 0;
+}
+
+static int
+is_of_other_service(const Relay *n, const SpReport *r)
+{
+    return !r->partial && strcmp(r->service, n->settings.service) != 0;
 }
 
+static void
+log_foreign(const SpReport *r)
+{
+    char addr[64], service[128];
+
+    SpLog(SP_LOG_WARN, "report-foreign", "addr=%s service=%s",
+          SpLog_Quote(addr, sizeof addr, r->addr),
+          SpLog_Quote(service, sizeof service, r->service));
+}
+
+/* Only what takes effect here is acknowledged: the node of another address
+   would not learn that its instance leaves. Nothing is sent to an instance of
+   another service. */
 static void
 answer_report(Relay *n, SpHttpReq *req, SpArena *a)
 {
     const SpMsg *m = SpHttpReq_Msg(req);
-    char addr[64], service[128];
     SpReport r;
 
     if (!n->adapter->read_report(m, a, &r)) {
@@ -138,13 +264,16 @@
         SpHttpReq_Respond(req, 400, "", "", 0);
         return;
     }
-    if (is_local(n, &r)) {
-        apply_report(n, &r);
+    if (is_from_elsewhere(n, &r)) {
+        log_foreign(&r);
+        SpHttpReq_Respond(req, MISDIRECTED, "", "", 0);
+        return;
+    }
+    if (is_of_other_service(n, &r)) {
+        log_foreign(&r);
     }
     else {
-        SpLog(SP_LOG_WARN, "report-foreign", "addr=%s service=%.128s",
-              SpLog_Quote(addr, sizeof addr, r.addr),
-              SpLog_Quote(service, sizeof service, r.service));
+        apply_report(n, &r);
     }
     SpHttpReq_Respond(req, 200, "Content-Type: application/json\r\n", "{}", 2);
 }
