An answer of another relay needs a status that ends a request

One place read a status without a check: the answer on a link between relays took any number, cut to 32 bits, and an outcome that is none, which indexed a table.

Change: relay/reply.c reads the answer and takes only statuses 200 to 599 with "ok"; otherwise the link is closed as malformed and its calls are lost (502).

--- a/Makefile
+++ b/Makefile
@@ -82,7 +82,7 @@
 
 $(OUT)/sptest: $(patsubst %.c,$(OUT)/%.o,$(filter-out test/fuzz% \
 		test/redirect.c,$(wildcard test/*.c))) $(PLATOBJ) $(OUT)/relay/frame.o \
-		$(OUT)/standin/rawtext.o \
+		$(OUT)/relay/reply.o $(OUT)/standin/rawtext.o \
 		$(OUT)/libsp.a
 	@echo ld $@
 	@$(CC) $(LDFLAGS) -o $@ $^ -lcunit -lhttp_parser $(LIBS)
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -21,6 +21,7 @@
  *   sums.c      the same at the coordinator, and between coordinators
  *   leaving.c   instances that leave, as other nodes remember them
  *   remote.c    calls between relays
+ *   reply.c     their answers, as they are read
  *   runs.c      runs that this process does not hold, but whose calls may come
  *   frame.c     encoding of the messages on those connections
  *   store.c     calls to the platform's store (store.h: shared definitions)
--- a/relay/remote.c
+++ b/relay/remote.c
@@ -3,6 +3,7 @@
 
 #include "relay/call.h"
 #include "relay/link.h"
+#include "relay/reply.h"
 
 /* A link with more unsent bytes than this accepts no further call. */
 #define MAX_UNSENT_BYTES ((size_t)16 << 20)
@@ -185,17 +186,7 @@
     Call *c;
     uint64_t seq = get_uint(f);
 
-    memset(&r, 0, sizeof r);
-    r.kind = (SpKind)get_uint(f);
-    r.outcome = (SpOutcome)get_uint(f);
-    r.reached = (int)get_uint(f);
-    r.nested_failed = (int)get_uint(f);
-    r.path = SpShares_Unpack(get_uint(f));
-    r.calls = get_real(f);
-    r.status = (int)get_uint(f);
-    r.lines = get_bin(f, &r.lines_len);
-    r.body = get_bin(f, &r.body_len);
-    if (f->bad || !conn->peer || r.kind >= SP_NKINDS) {
+    if (!read_reply(f, &r) || !conn->peer) {
         return 0;
     }
     conn->peer->upstream.busy = (int)get_uint(f);
--- a/test/wire.c
+++ b/test/wire.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "platform/platform.h"
-#include "relay/frame.h"
+#include "relay/reply.h"
 #include "test/test.h"
 
 static SpRoutes *
@@ -327,6 +327,64 @@
     g_byte_array_unref(out);
 }
 
+static int
+take_reply(void *ctx, FrameType type, FrameIn *f)
+{
+    (void)type;
+    (void)get_uint(f); /* number of the call */
+    return read_reply(f, ctx);
+}
+
+/* Returns 1 if an answer of another relay with that kind, outcome and status
+   is taken. */
+static int
+takes_reply(uint64_t kind, uint64_t outcome, uint64_t status, Result *r)
+{
+    GByteArray *out = g_byte_array_new();
+    FrameOut f;
+    int ok;
+
+    begin_frame(&f, out, FRAME_ANSWER, 10);
+    put_uint(&f, 7);
+    put_uint(&f, kind);
+    put_uint(&f, outcome);
+    put_uint(&f, 1);
+    put_uint(&f, 0);
+    put_uint(&f, UINT64_MAX);
+    put_real(&f, 2);
+    put_uint(&f, status);
+    put_str(&f, "A: b");
+    put_str(&f, "body");
+    end_frame(&f);
+    ok = read_frames(out, take_reply, r);
+    g_byte_array_unref(out);
+    return ok;
+}
+
+/* Guards against an answer with a status that ends no request, on the links
+   too: a client would get it as an answer. */
+static void
+test_reply_status(void)
+{
+    static const uint64_t bad[] = {0,   99,  100,  101,
+                                   199, 600, 1000, (1ULL << 32) + 200};
+    Result r;
+    size_t i;
+
+    CU_ASSERT(takes_reply(SP_OK, SP_DONE, 200, &r) && r.status == 200);
+    CU_ASSERT(r.kind == SP_OK && r.outcome == SP_DONE && r.reached);
+    CU_ASSERT(r.calls == 2 && r.lines_len == 4 && r.body_len == 4);
+    CU_ASSERT(takes_reply(SP_OK, SP_DONE, 599, &r));
+    CU_ASSERT(takes_reply(SP_BROKEN, SP_UNKNOWN, 0, &r));
+    CU_ASSERT(takes_reply(SP_THROTTLED, SP_NOT_RUN, 503, &r));
+    for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+        CU_ASSERT_FALSE(takes_reply(SP_OK, SP_DONE, bad[i], &r));
+    }
+    CU_ASSERT_FALSE(takes_reply(SP_BROKEN, SP_UNKNOWN + 1, 0, &r));
+    CU_ASSERT_FALSE(takes_reply(SP_NKINDS, SP_DONE, 200, &r));
+    CU_ASSERT_FALSE(takes_reply(1ULL << 32, SP_DONE, 200, &r));
+}
+
 static int
 count_frame(void *ctx, FrameType type, FrameIn *f)
 {
@@ -424,6 +482,7 @@
     {"relay", "reals in frames", test_frame_reals},
     {"relay", "elements of frames", test_frame_elements},
     {"platform", "config", test_config},
+    {"platform", "reply_status", test_reply_status},
     {"platform", "long_config", test_long_config},
     {"platform", "local_peer", test_local_peer},
     {"platform", "bad config", test_bad_config},
