A departure that others remember is that of one instance

A relay that started again and was told that an instance before the present one had left took that for its instance, and made no status check until a report came. And what others were told did not say that a drain time may be over.

Change: what is remembered (Departure) is kept beside the instance and applied to the one with its id and start, whether a check or a report introduces it.

--- a/relay/frame.c
+++ b/relay/frame.c
@@ -13,7 +13,7 @@
 static const char *const type_names[FRAME_NTYPES] = {
     "hello",      "state",  "alive",  "call",    "answer",   "cancel",
     "get_config", "config", "digest", "members", "stopping", "arrivals",
-    "usage",      "words",  "sums",   "runs",    "leaving"};
+    "usage",      "words",  "sums",   "runs",    "departure"};
 
 const char *
 FrameType_Name(FrameType type)
--- a/relay/frame.h
+++ b/relay/frame.h
@@ -42,8 +42,8 @@
     FRAME_RUNS,  /* list of: id, route, workspace, share, rank, is_retry, calls
                     left, time to the deadline of a run at the receiver whose
                     answer was lost */
-    FRAME_LEAVING, /* node, id and start of its instance, time since it said
-                      that it leaves */
+    FRAME_DEPARTURE, /* node, id and start of its instance, time since it said
+                      that it leaves, 1 if its drain time may be over */
     FRAME_NTYPES
 } FrameType;
 
--- a/relay/link.c
+++ b/relay/link.c
@@ -330,8 +330,8 @@
         return handle_sums(conn, f);
     case FRAME_RUNS:
         return handle_runs(conn, f);
-    case FRAME_LEAVING:
-        return handle_leaving(conn, f);
+    case FRAME_DEPARTURE:
+        return handle_departure(conn, f);
     case FRAME_NTYPES:
         break;
     }
@@ -429,7 +429,7 @@
     ls->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     ls->conns = g_ptr_array_new();
     ls->rumors = g_ptr_array_new_with_free_func(g_free);
-    ls->leavings = new_leavings();
+    ls->departures = new_departures();
     ls->state = g_byte_array_new();
     if (!SpHttp_ListenTcp(n->loop, &ls->tcp, n->settings.link, BACKLOG,
                           on_incoming, err)) {
--- a/relay/link.h
+++ b/relay/link.h
@@ -14,7 +14,7 @@
  *   state.c   exchange of state and configuration
  *   quota.c   exchange of reports and sums for quotas
  *   remote.c  calls
- *   leaving.c instances that leave, as other nodes remember them
+ *   departure.c  instances that leave, as other nodes remember them
  *   runs.c    runs that a node that has started again does not know
  */
 #ifndef SP_LINK_H
@@ -95,10 +95,10 @@
     GByteArray *state;      /* the last state sent, without its frame */
     uint64_t state_number;  /* of that state; increases with each change */
     int64_t state_at;
-    GPtrArray *rumors;    /* names of members to pass on */
-    GHashTable *leavings; /* name of a node to what it said (leaving.c) */
-    int64_t digest_at;    /* when the next digest is sent */
-    uint64_t newest;      /* highest version that a node reported */
+    GPtrArray *rumors;      /* names of members to pass on */
+    GHashTable *departures; /* name of a node to what it said (departure.c) */
+    int64_t digest_at;      /* when the next digest is sent */
+    uint64_t newest;        /* highest version that a node reported */
     FrameCount sent[FRAME_NTYPES];
     uint64_t opened, lost; /* links */
 };
@@ -190,11 +190,11 @@
 /* fair.c */
 int handle_arrivals(LinkConn *conn, FrameIn *f);
 
-/* leaving.c */
-GHashTable *new_leavings(void);
-/* tell_leaving tells the other side what this node knows of its instance. */
-void tell_leaving(LinkConn *conn);
-int handle_leaving(LinkConn *conn, FrameIn *f);
+/* departure.c */
+GHashTable *new_departures(void);
+/* tell_departure tells the other side what this node knows of its instance. */
+void tell_departure(LinkConn *conn);
+int handle_departure(LinkConn *conn, FrameIn *f);
 
 /* runs.c */
 /* send_past_runs sends the runs to the node that had them. */
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -19,7 +19,7 @@
  *   contacts.c  the first nodes of each zone
  *   quota.c     quotas of workspaces: admission, reports to the coordinator
  *   sums.c      the same at the coordinator, and between coordinators
- *   leaving.c   instances that leave, as other nodes remember them
+ *   departure.c instances that leave, as other nodes remember them
  *   remote.c    calls between relays
  *   reply.c     their answers, as they are read
  *   runs.c      runs that this process does not hold, but whose calls may come
@@ -196,6 +196,14 @@
     int unreachable;     /* connecting to it failed */
 } Instance;
 
+/* An instance that has reported that it leaves. */
+typedef struct Departure {
+    char *id;         /* owned; NULL: none is known */
+    int64_t start_ms; /* 0: not known */
+    int64_t since;    /* time of the report */
+    int is_over; /* 1: its drain time may be over, however long ago it was */
+} Departure;
+
 /* The linked instances of a service, and the budget of retries to them. */
 typedef struct Service {
     const char *name;     /* the key of its table */
@@ -233,6 +241,7 @@
     int64_t check_at; /* time-out of that check, or time of the next one */
     SpRoutes *routes;
     Instance inst;
+    Departure departure; /* the last one of a local instance */
     SpLimiter limiter;
     int learns; /* 1: the limit is learned, by capacity */
     SpCapacity capacity;
@@ -288,13 +297,12 @@
 int listen_reports(Relay *n, GError **err);
 /* assume_instance records that a status check found the instance ready. */
 void assume_instance(Relay *n, const char *id);
-/* learn_leaving records what another node remembers: the instance has been
-   leaving since that time. */
-void learn_leaving(Relay *n, const char *id, int64_t start_ms, int64_t since);
+/* learn_departure records what another node remembers. */
+void learn_departure(Relay *n, const Departure *d);
 
-/* leaving.c */
-/* announce_leaving tells the other nodes that the local instance leaves. */
-void announce_leaving(Relay *n);
+/* departure.c */
+/* announce_departure tells the other nodes that the local instance leaves. */
+void announce_departure(Relay *n);
 
 /* instance.c */
 Job *start_job(Relay *n, const JobOpts *o);
--- a/relay/reports.c
+++ b/relay/reports.c
@@ -11,35 +11,10 @@
 /* Status of the answer to a report that another node is to get. */
 #define MISDIRECTED 421
 
-/* 1 if nothing is known of the instance but its id, and that it leaves. */
-static int
-is_only_gone(const Instance *i)
-{
-    return i->leaving_since && !i->reported_at && !i->start_ms;
-}
-
-/* 1 if the report is of such an instance: one of the same id may have begun
-   again, but not so soon. */
-static int
-is_of_the_gone(const Relay *n, const SpReport *r)
-{
-    const Instance *i = &n->inst;
-    double served_us = n->settings.drain_s * SP_SEC;
-
-    return is_only_gone(i) && strcmp(r->id, i->id) == 0 &&
-           SpHttp_Now() - i->leaving_since <
-               (int64_t)served_us + LATEST_REPORT_US;
-}
-
 /* 1 if the report is older than the last one or from an earlier lifetime. */
 static int
-is_stale(const Relay *n, const SpReport *r)
+is_stale(const Instance *i, const SpReport *r)
 {
-    const Instance *i = &n->inst;
-
-    if (is_of_the_gone(n, r)) {
-        return 1;
-    }
     if (!i->known) {
         return 0;
     }
@@ -87,24 +62,6 @@
     return limit;
 }
 
-void
-assume_instance(Relay *n, const char *id)
-{
-    Instance *i = &n->inst;
-
-    if (i->known) {
-        return;
-    }
-    i->known = i->assumed = 1;
-    g_free(i->id);
-    i->id = g_strdup(id);
-    i->last_seen = SpHttp_Now();
-    SpLimiter_SetLimit(&n->limiter, default_limit(n));
-    SpLog(SP_LOG_INFO, "instance-up", "instance=%.128s from=check limit=%.0f",
-          id, n->limiter.limit);
-    broadcast_state(n);
-}
-
 /*
  * Returns 1 if the report, which says that the instance leaves, is the first
  * of its lifetime that does: the one before it was received here, or a report
@@ -126,19 +83,69 @@
            i->reported_at - n->started > LATEST_REPORT_US;
 }
 
-/* An instance of which only this is known, that it leaves or is gone. */
+/* 1 if what is known of an instance that leaves is of the present one. Another
+   may begin under an id whose start is not known, but not so soon. */
+static int
+is_of_present(const Relay *n, const Departure *d)
+{
+    const Instance *i = &n->inst;
+    int64_t drain_us = (int64_t)(n->settings.drain_s * SP_SEC);
+
+    if (!d->id || !i->known || strcmp(d->id, i->id) != 0) {
+        return 0;
+    }
+    if (!d->start_ms) {
+        return SpHttp_Now() - d->since < drain_us + LATEST_REPORT_US;
+    }
+    return i->assumed || d->start_ms == i->start_ms;
+}
+
+/* Applies what was known of the instance before it was introduced here. */
 static void
-introduce_leaving(Relay *n, const char *id, int64_t start_ms)
+apply_departure(Relay *n)
+{
+    Instance *i = &n->inst;
+    const Departure *d = &n->departure;
+
+    if (!is_of_present(n, d) ||
+        (i->leaving_since && i->leaving_since <= d->since)) {
+        return;
+    }
+    i->leaving_since = d->since;
+    i->has_left |= d->is_over;
+    SpLog(SP_LOG_INFO, "instance-leaving",
+          "instance=%.128s said=before ms=%" PRId64 " over=%d", i->id,
+          (SpHttp_Now() - d->since) / SP_MS, i->has_left);
+}
+
+void
+assume_instance(Relay *n, const char *id)
 {
     Instance *i = &n->inst;
 
+    if (i->known) {
+        return;
+    }
+    i->known = i->assumed = 1;
     g_free(i->id);
-    memset(i, 0, sizeof *i);
-    i->known = 1;
     i->id = g_strdup(id);
-    i->start_ms = start_ms;
     i->last_seen = SpHttp_Now();
     SpLimiter_SetLimit(&n->limiter, default_limit(n));
+    apply_departure(n);
+    SpLog(SP_LOG_INFO, "instance-up", "instance=%.128s from=check limit=%.0f",
+          id, n->limiter.limit);
+    broadcast_state(n);
+}
+
+static void
+set_departure(Relay *n, const char *id, int64_t start_ms, int64_t since,
+              int is_over)
+{
+    Departure *d = &n->departure;
+    char *copy = g_strdup(id);
+
+    g_free(d->id);
+    *d = (Departure){copy, start_ms, since, is_over};
 }
 
 static void
@@ -150,11 +157,11 @@
     i->has_left = !is_first;
     SpLog(SP_LOG_INFO, "instance-leaving", "instance=%.128s said=%s first=%d",
           r->id, r->phase == SP_INST_GONE ? "gone" : "draining", is_first);
-    announce_leaving(n);
+    set_departure(n, i->id, i->start_ms, i->leaving_since, i->has_left);
+    announce_departure(n);
 }
 
-/* What the report says of an instance that is known, or is introduced by it.
- */
+/* Introduces the instance, or brings what is known of it up to date. */
 static void
 take_report(Relay *n, const SpReport *r)
 {
@@ -163,13 +170,9 @@
     if (!r->partial && i->assumed && strcmp(r->id, i->id) == 0) {
         i->assumed = 0; /* same instance as in the status check */
     }
-    else if (!r->partial &&
-             (!i->known || r->start_ms != i->start_ms || is_only_gone(i))) {
+    else if (!r->partial && (!i->known || r->start_ms != i->start_ms)) {
         begin_lifetime(n, r);
     }
-    if (!i->known) {
-        introduce_leaving(n, r->id, r->start_ms);
-    }
     if (!r->partial) {
         i->start_ms = r->start_ms;
         i->seq = r->seq;
@@ -179,6 +182,7 @@
         set_slots(n, r->slots);
     }
     i->last_seen = SpHttp_Now();
+    apply_departure(n);
 }
 
 static void
@@ -188,12 +192,18 @@
     SpAcceptState was = local_load(n, now).accepts;
     int is_first = is_first_of_leaving(n, r);
 
-    if (is_stale(n, r)) {
+    if (is_stale(&n->inst, r)) {
         SpLog(SP_LOG_INFO, "report-stale",
               "instance=%.128s seq=%" PRId64 " start_ms=%" PRId64, r->id,
               r->seq, r->start_ms);
         return;
     }
+    if (!n->inst.known && r->partial) {
+        /* it cannot introduce an instance, but a late report may */
+        set_departure(n, r->id, r->start_ms, now, 1);
+        announce_departure(n);
+        return;
+    }
     take_report(n, r);
     if (r->phase != SP_INST_READY && !n->inst.leaving_since) {
         begin_leaving(n, r, is_first);
@@ -205,24 +215,13 @@
 }
 
 void
-learn_leaving(Relay *n, const char *id, int64_t start_ms, int64_t since)
+learn_departure(Relay *n, const Departure *d)
 {
-    Instance *i = &n->inst;
-    int is_same =
-        strcmp(id, i->id) == 0 && (i->assumed || i->start_ms == start_ms);
-
-    if (i->known && !is_same) {
-        return;
-    }
-    if (!i->known) {
-        introduce_leaving(n, id, start_ms);
+    if (n->departure.id && n->departure.since > d->since) {
+        return; /* of an earlier instance */
     }
-    i->assumed = 0;
-    i->start_ms = start_ms;
-    i->leaving_since = i->leaving_since ? MIN(i->leaving_since, since) : since;
-    SpLog(SP_LOG_INFO, "instance-leaving",
-          "instance=%.128s said=before ms=%" PRId64, id,
-          (SpHttp_Now() - since) / SP_MS);
+    set_departure(n, d->id, d->start_ms, d->since, d->is_over);
+    apply_departure(n);
     broadcast_state(n);
     run_next(n);
 }
--- a/relay/state.c
+++ b/relay/state.c
@@ -294,7 +294,7 @@
         send_hello(conn);
         retry_peer(n, m.addr, SpHttp_Now());
     }
-    tell_leaving(conn);
+    tell_departure(conn);
     read_load(conn, f);
     compare_members(conn, f);
     return !f->bad;
--- a/test/leaving-restart.t
+++ b/test/leaving-restart.t
@@ -38,6 +38,10 @@
 until_ok 5 is_up back-1
 sleep 2
 echo "$(say back-1 draining 11), requests that reach it: $(reached back-1)"
+restart back-1
+until_ok 5 is_up back-1
+sleep 1
+echo "once more: $(say back-1 draining 12), requests: $(reached back-1)"
 kill -9 "$(cat "$DIR/inst-back-1.pid")" "$(cat "$DIR/relay-back-1.pid")"
 
 echo "the relay beside it is killed, and its status check says ready:"
@@ -72,4 +76,6 @@
 kill -9 "$(cat "$DIR/inst-back-4.pid")"
 instance back-4 back i-back-5 2000 -r 60000
 until_ok 5 up && echo "the next one is used"
+restart back-4
+until_ok 5 up && echo "and so it is by a relay that hears of the one before"
 echo "a report of an instance at another address: $(say back-4 draining 20 127.0.0.9:7406)"
