--- a/relay/entry.c
+++ b/relay/entry.c
@@ -259,7 +259,7 @@
 {
     Relay *n = c->n;
     const RunInfo *past;
-    RunInfo of;
+    RunInfo info;
     Job *j;
 
     c->rank = SpRankMap_Rank(&c->routes->ranks, NULL, c->route->rank);
@@ -272,21 +272,21 @@
     if (!j && (!past || !past->is_served)) {
         return;
     }
-    of = j ? run_info(j) : *past;
+    info = j ? run_info(j) : *past;
     c->nested = 1;
     if (j) {
         nested_began(j);
     }
-    c->is_retry = of.is_retry;
+    c->is_retry = info.is_retry;
     n->parents_known = 1;
-    c->rank = of.rank;
-    c->deadline = MIN(c->deadline, of.deadline);
-    c->share = of.share;
-    if (of.workspace[0]) {
-        c->workspace_name = SpName_New(of.workspace);
-    }
-    c->calls_left = calls_left_after(c, &of, j ? j->calls_done : 0);
-    SpPaths_RecordCall(n->paths, c->arrived, of.route, c->route->name);
+    c->rank = info.rank;
+    c->deadline = MIN(c->deadline, info.deadline);
+    c->share = info.share;
+    if (info.workspace[0]) {
+        c->workspace_name = SpName_New(info.workspace);
+    }
+    c->calls_left = calls_left_after(c, &info, j ? j->calls_done : 0);
+    SpPaths_RecordCall(n->paths, c->arrived, info.route, c->route->name);
 }
 
 /* Rejects new requests in excess of the capacity of the services downstream,
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -314,6 +314,7 @@
 {
     LinkConn *conn = p->conn;
 
+    expire_past_runs(p->lost, now);
     if (conn && !p->wanted && g_hash_table_size(p->calls) == 0 &&
         now - MAX(conn->used_at, p->seen_at) > UNWANTED_US) {
         close_unused(conn);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -356,8 +356,8 @@
 /* runs.c */
 PastRuns *new_past_runs(void);
 void free_past_runs(PastRuns *rs);
-/* add_past_run stores a copy of *of and its names. */
-void add_past_run(PastRuns *rs, const char *id, const RunInfo *of);
+/* add_past_run stores a copy of *info and its names. */
+void add_past_run(PastRuns *rs, const char *id, const RunInfo *info);
 /* find_past_run returns NULL if the run is not known, or has ended long ago.
  */
 const RunInfo *find_past_run(const PastRuns *rs, const char *id);
--- a/relay/remote.c
+++ b/relay/remote.c
@@ -26,17 +26,17 @@
 static void
 keep_lost_call(Peer *p, const Call *c)
 {
-    RunInfo of = {.route = c->route->name,
-                  .workspace = c->workspace_name ? c->workspace_name : "",
-                  .share = c->share,
-                  .calls_left = c->calls_left,
-                  .rank = c->rank,
-                  .is_retry = c->is_retry || c->reached > 0,
-                  .is_served = 1,
-                  .deadline = c->deadline};
+    RunInfo info = {.route = c->route->name,
+                    .workspace = c->workspace_name ? c->workspace_name : "",
+                    .share = c->share,
+                    .calls_left = c->calls_left,
+                    .rank = c->rank,
+                    .is_retry = c->is_retry || c->reached > 0,
+                    .is_served = 1,
+                    .deadline = c->deadline};
 
     if (!c->route->idempotent) {
-        add_past_run(p->lost, c->id, &of);
+        add_past_run(p->lost, c->id, &info);
     }
 }
 
--- a/relay/runs.c
+++ b/relay/runs.c
@@ -23,7 +23,7 @@
 
 typedef struct PastRun {
     char *id; /* owned */
-    RunInfo of;
+    RunInfo info;
     GList node;
 } PastRun;
 
@@ -37,20 +37,20 @@
 free_run(PastRun *r)
 {
     g_free(r->id);
-    SpName_Free(r->of.route);
-    SpName_Free(r->of.workspace);
+    SpName_Free(r->info.route);
+    SpName_Free(r->info.workspace);
     g_free(r);
 }
 
 static PastRun *
-new_past_run(const char *id, const RunInfo *of)
+new_past_run(const char *id, const RunInfo *info)
 {
     PastRun *r = g_new0(PastRun, 1);
 
     r->id = g_strdup(id);
-    r->of = *of;
-    r->of.route = SpName_New(of->route);
-    r->of.workspace = SpName_New(of->workspace);
+    r->info = *info;
+    r->info.route = SpName_New(info->route);
+    r->info.workspace = SpName_New(info->workspace);
     r->node.data = r;
     return r;
 }
@@ -74,7 +74,7 @@
 }
 
 void
-add_past_run(PastRuns *rs, const char *id, const RunInfo *of)
+add_past_run(PastRuns *rs, const char *id, const RunInfo *info)
 {
     PastRun *known = g_hash_table_lookup(rs->by_id, id), *r;
 
@@ -87,7 +87,7 @@
     if (rs->order.length >= MAX_RUNS) {
         remove_run(rs, g_queue_peek_head(&rs->order));
     }
-    r = new_past_run(id, of);
+    r = new_past_run(id, info);
     g_queue_push_tail_link(&rs->order, &r->node);
     g_hash_table_insert(rs->by_id, r->id, r);
 }
@@ -97,7 +97,7 @@
 {
     const PastRun *r = g_hash_table_lookup(rs->by_id, id);
 
-    return r ? &r->of : NULL;
+    return r ? &r->info : NULL;
 }
 
 void
@@ -122,7 +122,7 @@
     for (k = rs->order.head; k; k = next) {
         PastRun *r = k->data;
         next = k->next;
-        if (now > r->of.deadline + LATE_CALL_US) {
+        if (now > r->info.deadline + LATE_CALL_US) {
             remove_run(rs, r);
         }
     }
@@ -143,13 +143,13 @@
     for (k = rs->order.head; k; k = k->next) {
         const PastRun *r = k->data;
         put_str(&f, r->id);
-        put_str(&f, r->of.route);
-        put_str(&f, r->of.workspace);
-        put_real(&f, r->of.share);
-        put_uint(&f, (uint64_t)r->of.rank);
-        put_uint(&f, (uint64_t)r->of.is_retry);
-        put_real(&f, r->of.calls_left);
-        put_int(&f, r->of.deadline - now);
+        put_str(&f, r->info.route);
+        put_str(&f, r->info.workspace);
+        put_real(&f, r->info.share);
+        put_uint(&f, (uint64_t)r->info.rank);
+        put_uint(&f, (uint64_t)r->info.is_retry);
+        put_real(&f, r->info.calls_left);
+        put_int(&f, r->info.deadline - now);
     }
     end_frame(&f);
 }
@@ -165,15 +165,15 @@
 
     for (i = 0; i < count / RUN_FIELDS && !in.bad; i++) {
         const char *id = get_text(&in);
-        RunInfo of = {.is_served = 1, .route = get_text(&in)};
-        of.workspace = get_text(&in);
-        of.share = get_real(&in);
-        of.rank = (int)get_uint(&in);
-        of.is_retry = get_uint(&in) != 0;
-        of.calls_left = get_real(&in);
-        of.deadline = now + get_int(&in);
+        RunInfo info = {.is_served = 1, .route = get_text(&in)};
+        info.workspace = get_text(&in);
+        info.share = get_real(&in);
+        info.rank = (int)get_uint(&in);
+        info.is_retry = get_uint(&in) != 0;
+        info.calls_left = get_real(&in);
+        info.deadline = now + get_int(&in);
         if (!in.bad && !g_hash_table_contains(n->jobs_by_id, id)) {
-            add_past_run(n->past_runs, id, &of);
+            add_past_run(n->past_runs, id, &info);
         }
     }
     SpArena_Free(in.arena);
@@ -198,13 +198,13 @@
 keep_run(const Job *j)
 {
     const SpRoutes *rs = j->n->routes;
-    RunInfo of = run_info(j);
+    RunInfo info = run_info(j);
 
     if (j->idempotent && !(rs && rs->workspaces)) {
         return; /* its calls need no key, and are taken as new requests */
     }
-    of.is_served = !j->idempotent;
-    add_past_run(j->n->past_runs, j->id, &of);
+    info.is_served = !j->idempotent;
+    add_past_run(j->n->past_runs, j->id, &info);
 }
 
 int
--- a/test/test.h
+++ b/test/test.h
@@ -12,6 +12,9 @@
 extern const Unit flow_units[];
 extern const Unit wire_units[];
 
+/* passing.c */
+extern const Unit passing_units[];
+
 /* pool.c */
 extern const Unit pool_units[];
 
--- a/test/unit.c
+++ b/test/unit.c
@@ -455,6 +455,7 @@
     add_units(flow_units);
     add_units(chooser_units);
     add_units(wire_units);
+    add_units(passing_units);
     add_units(answer_units);
     add_units(pool_units);
     add_units(directory_units);
