--- a/test/leaving-restart.t
+++ b/test/leaving-restart.t
@@ -11,9 +11,14 @@
     report "$1" "/Instances.Heartbeat/i-$1" "$(printf '{"address":"%s","born":1000,"info":{"service":"back","slots":8},"status":{"state":"%s","seq":%s,"warmup_left_s":0}}' \
         "${4:-$(ip_of "$1"):7406}" "$2" "$3")"
 }
+kill_and_wait() { # NAME...: of programs; their addresses are free then
+    local name
+    for name in "$@"; do kill -9 "$(cat "$DIR/$name.pid")"; done
+    for name in "$@"; do wait "$(cat "$DIR/$name.pid")" 2>/dev/null; done
+}
 restart() { # NODE...
     local name
-    for name in "$@"; do kill -9 "$(cat "$DIR/relay-$name.pid")"; done
+    kill_and_wait "${@/#/relay-}"
     for name in "$@"; do relay "$name"; done
 }
 M=0
@@ -42,7 +47,7 @@
 until_ok 5 is_up back-1
 sleep 1
 echo "once more: $(say back-1 draining 12), requests: $(reached back-1)"
-kill -9 "$(cat "$DIR/inst-back-1.pid")" "$(cat "$DIR/relay-back-1.pid")"
+kill_and_wait inst-back-1 relay-back-1
 
 echo "the relay beside it is killed, and its status check says ready:"
 node back-2 back -r 60000
@@ -54,7 +59,7 @@
 sleep 2
 echo "requests that reach it: $(reached back-2)"
 echo "a late report, ready: $(say back-2 ready 10), requests: $(reached back-2)"
-kill -9 "$(cat "$DIR/inst-back-2.pid")" "$(cat "$DIR/relay-back-2.pid")"
+kill_and_wait inst-back-2 relay-back-2
 
 echo "a relay that has just started learns first that it is gone:"
 node back-3 back -r 60000 -H
@@ -73,7 +78,7 @@
 echo "requests in the drain time: $(reached back-4)"
 sleep 2
 echo "afterwards: $(reached back-4)"
-kill -9 "$(cat "$DIR/inst-back-4.pid")"
+kill_and_wait inst-back-4
 instance back-4 back i-back-5 2000 -r 60000
 until_ok 5 up && echo "the next one is used"
 restart back-4
--- a/test/restart-calls.t
+++ b/test/restart-calls.t
@@ -16,7 +16,10 @@
     send "$1" "$2" "$3" "$4" "$KEY" >/dev/null 2>&1 &
 }
 has_run() { [ "$(runs "$1")" -gt 0 ]; }
-kill_relay() { kill -9 "$(cat "$DIR/relay-$1.pid")"; }
+kill_relay() { # and waits for its end, so that its addresses are free
+    kill -9 "$(cat "$DIR/relay-$1.pid")"
+    wait "$(cat "$DIR/relay-$1.pid")" 2>/dev/null
+}
 call() { code back-1 "$1" GET /safe/x; }
 # The answer to calls of RUN once they are no longer refused as not run.
 settled() { # RUN
